--- /dev/null
+++ b/mintmast/decide.py
@@ -0,0 +1,623 @@
+"""Every decision of the controller: where a session plays, at which rung, or that it is refused.
+
+Its types, events and actions are in `interface.py`. Outline: tuned values; `_Pipe`, the slot account of a
+link or rack uplink; `_Server` and `_Session`; `Controller`, whose parts are the list of servers, requests and
+attempts, admission (slot test, price of room, holder order), guards (cold pace, seats, attempt budget),
+notes, and the step-down under short delivery. Times are microseconds, rates kB a second.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from mintmast import interface as api
+from mintmast.interface import Effect, ListKind, NoteKind, Outcome, ServerState
+
+SECOND = 1_000_000
+SLOT = SECOND  # µs; a slot of the link account: the design's second, well under a session's length
+DEFAULT_LENGTH = 120 * SECOND  # µs; charge of a session with no hint: over the usual length, as ends are told
+MARK = 0.9  # part of a link that the slot test may fill: room for rates above the ladder and late notes
+MAX_USE = 20.0  # noted use above this is taken for a broken report
+OWN_ZONE = 0.03  # room that a holder in the own zone is thought to have more: crossings are priced
+RETRY_ADVICE = SECOND  # µs; after a refusal: about one session of a server ends in that time
+MIN_LEFT = 60_000  # µs; with less time left no set-up can answer, so none is sent
+TRY_TIME = SECOND  # µs; a repeatable set-up unanswered for so long is tried elsewhere: several usual set-ups
+SUSPECT = 2 * SECOND  # µs; a server is passed over so long after a failed set-up, doubled with each in a row
+SUSPECT_MAX = 16 * SECOND  # µs; longest such time: faults last tens of seconds and must be noticed as over
+FULL_PAUSE = SECOND  # µs; a server that said it is full is passed over so long: one slot
+SHED_BELOW = 0.96  # delivered share under which rungs are stepped down: a little short costs less than a step
+SHED_TO = 0.95  # part of what is delivered that the rungs kept may ask for, so that one step is enough
+SHED_WAIT = 2 * SECOND  # µs beside the age of notes before the same server is judged again
+DEAD_BELOW = 0.1  # delivered share under which the server stands still: smaller rungs would not help
+DEMAND_MEMORY = 4 * SECOND  # µs; broken sessions count as demand so long: most viewers are back by then
+PRICE_AGE = SECOND // 4  # µs; the price of room is worked out anew so often
+
+
+class _Pipe:
+    """Slot account of a link or an uplink: its noted use, and what this gateway changed since then."""
+
+    __slots__ = ("at", "changes", "limit", "use")
+
+    def __init__(self, limit: float) -> None:
+        self.limit = limit
+        self.use: float | None = None
+        self.at = -1
+        self.changes: deque[tuple[int, int, float]] = deque()
+
+    def charge(self, now: int, ends: int, kb: float) -> None:
+        """Put `kb` (negative: take off) into the slots from now to that of `ends`."""
+        self.changes.append((now, ends // SLOT, kb))
+
+    def note(self, seen: int, use: float) -> None:
+        """Take a report of the use as it was at `seen`; what was changed before is part of it."""
+        if seen < self.at:
+            return
+        self.use, self.at = use, seen
+        while self.changes and self.changes[0][0] <= seen:
+            self.changes.popleft()
+
+    def changed(self, now: int) -> float:
+        """Give the fullest slot's charges since the note.
+
+        Every charge starts at once and only leaves later, so the fullest slot is the present one.
+        """
+        slot = now // SLOT
+        if self.changes and self.changes[0][1] < slot:
+            self.changes = deque(each for each in self.changes if each[1] >= slot)
+        return sum(kb for _, last, kb in self.changes)
+
+    def need(self, now: int, unheard: float) -> float:
+        """Give the rate asked in the fullest slot; `unheard` is the use taken where none was noted."""
+        use = unheard if self.use is None else self.use
+        return max(0.0, use * self.limit + self.changed(now))
+
+
+@dataclass(slots=True)
+class _Server:
+    """What this gateway knows of one server."""
+
+    entry: api.ListEntry
+    link: _Pipe
+    rack: int
+    sessions: dict[int, _Session] = field(default_factory=dict)
+    strikes: int = 0
+    suspect_until: int = 0
+    warned: int = -1  # last sign that its process died or may have started anew
+    up_since: int | None = None  # first set-up answered after that sign
+    sent: deque[int] = field(default_factory=deque)
+    shed_at: int = -(10**15)
+
+
+@dataclass(slots=True)
+class _Session:
+    """A request and, once it plays, its session."""
+
+    request: int
+    service: int
+    tenant: int
+    title: int
+    best: int
+    worth: float
+    deadline: int = 0
+    length: int = 0
+    home: int = 0
+    copies: int = 0
+    server: bytes | None = None  # where its attempt is out or it plays
+    rung: int = 0
+    kb: float = 0.0
+    ends: int = 0
+    attempts: int = 0
+    tried: list[bytes] = field(default_factory=list)
+    may_have_run: bool = False
+    playing: bool = False
+    noted: bool = False
+    over: bool = False  # its final answer is given or no longer owed
+
+
+class Controller:
+    """Decides for one gateway; feed it every event in order and carry out the actions it returns."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.settings = settings
+        self.random = random.Random(seed)
+        self.servers: dict[bytes, _Server] = {}
+        self.sessions: dict[int, _Session] = {}
+        self.uplinks = [_Pipe(settings.uplink_kb or math.inf) for _ in range(settings.racks)]
+        self.seats: dict[tuple[int, int], int] = {}
+        self.resends: deque[int] = deque()
+        self.taken: deque[int] = deque()
+        self.broken: deque[tuple[int, _Session]] = deque()
+        self.started = 0
+        self.price_steps: list[tuple[float, float]] = []
+        self.price_at = -PRICE_AGE
+        self.actions: list[api.Action] = []
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        """Take one event at time `now` and give the actions that follow from it."""
+        self.actions = []
+        match event:
+            case api.SessionRequest():
+                self._request(now, event)
+            case api.AttemptEnd():
+                self._attempt_end(now, event)
+            case api.Playing():
+                self._playing(now, event)
+            case api.Note():
+                self._note(now, event)
+            case api.ServerList():
+                self._list(now, event)
+            case api.SessionOpen():
+                self._open(now, event)
+            case api.ViewerGone():
+                self._viewer_gone(event)
+            case api.Started():
+                self.started = now
+                if self.settings.must_subscribe:
+                    self.actions.append(api.Subscribe())
+            case api.TimerFired():
+                self.actions.append(api.Subscribe())
+        return self.actions
+
+    # The list of servers
+
+    def _list(self, now: int, event: api.ServerList) -> None:
+        if event.kind is ListKind.FAILED:
+            # A list service that is down must not be flooded by those who wait for it: ask again later.
+            self.actions.append(api.SetTimer(SECOND, 0))
+            return
+        if event.kind is not ListKind.DELTA:
+            listed = {entry.server for entry in event.entries}
+            for server in self.servers.values():
+                if server.entry.server not in listed:
+                    server.entry = _gone(server.entry)
+        for entry in event.entries:
+            server = self.servers.get(entry.server)
+            if server is None:
+                server = self.servers[entry.server] = _Server(entry, _Pipe(1.0), entry.cell % self.settings.racks)
+            elif entry.started > server.entry.started:  # a new process: what was learned of the old is void
+                server.link.use, server.link.at = None, -1
+                server.strikes = server.suspect_until = 0
+            server.entry = entry
+            server.rack = entry.cell % self.settings.racks
+        self._told_links()
+
+    def _told_links(self) -> None:
+        """Set each link's told rate: by its weight where weights are told, else by its kind's streams."""
+        s = self.settings
+        ready = [each for each in self.servers.values() if each.entry.state is not ServerState.GONE]
+        if not ready:
+            return
+        streams = [self._streams(each.entry.kind) for each in ready]
+        mean = sum(streams) / len(streams)
+        for server, count in zip(ready, streams, strict=True):
+            unit = s.weight_kb or (s.links_kb / len(ready)) or math.inf
+            server.link.limit = unit * (server.entry.weight if s.weights_told else count / mean if mean else 1.0)
+
+    def _streams(self, kind: int) -> int:
+        told = self.settings.kind_streams
+        return told[kind] if kind < len(told) else min(told, default=0)
+
+    # Requests and attempts
+
+    def _request(self, now: int, event: api.SessionRequest) -> None:
+        service = self.settings.classes[event.service]
+        if self.settings.budget:
+            self.taken.append(now)
+        session = _Session(
+            event.request,
+            event.service,
+            event.tenant,
+            event.title,
+            min(event.best_rung, service.top, len(self.settings.rung_kb) - 1),
+            service.worth,
+            deadline=now + event.budget,
+            length=event.length_hint or DEFAULT_LENGTH,
+            home=event.home_cell,
+            copies=event.copies,
+        )
+        self.sessions[event.request] = session
+        self._try(now, session)
+
+    def _try(self, now: int, session: _Session) -> None:
+        """Send the session to the best holder that passes, or end it at once."""
+        choice = None
+        if session.deadline - now >= MIN_LEFT and self._may_attempt(now, session):
+            choice = self._admit(now, session)
+        if choice is None:
+            self._end(session)
+            return
+        server, rung = choice
+        if not session.attempts or rung != session.rung:
+            self.actions.append(api.SetRung(session.request, rung))
+        if session.attempts:
+            self.resends.append(now)
+        else:
+            self._seat(session, 1)
+        session.rung, session.kb = rung, self._rate(session, rung)
+        session.server, session.ends = server.entry.server, now + session.length
+        session.attempts += 1
+        session.tried.append(session.server)
+        server.sessions[session.request] = session
+        server.sent.append(now)
+        self._charge(now, server, session, session.kb)
+        timeout = 0  # a paid set-up is not tried again, so it gets all the time there is
+        if self._class(session).effect is Effect.FREE:
+            timeout = min(session.deadline, now + TRY_TIME)
+        self.actions.append(api.SetUp(session.request, session.server, timeout))
+
+    def _end(self, session: _Session) -> None:
+        """Answer a request that goes nowhere: refused if that is safe, else failed."""
+        session.over = True
+        del self.sessions[session.request]
+        if session.attempts:
+            self._seat(session, -1)
+        if session.may_have_run and self._class(session).effect is not Effect.FREE:
+            self.actions.append(api.Fail(session.request))
+            return
+        s = self.settings
+        advice = min(RETRY_ADVICE, s.max_retry_after) if s.may_advise else 0
+        self.actions.append(api.Refuse(session.request, advice))
+
+    def _attempt_end(self, now: int, event: api.AttemptEnd) -> None:
+        self._load(now, event.server, event.load)
+        server = self.servers.get(event.server)
+        if server is not None:
+            self._judge(now, server, event)
+        session = self.sessions.get(event.request)
+        if session is None or session.server != event.server or event.attempt + 1 < session.attempts:
+            return
+        if server is not None:
+            server.sessions.pop(session.request, None)
+            self._charge(now, server, session, -session.kb)
+        session.server = None
+        if event.outcome not in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT):
+            session.may_have_run = True
+        if event.complete or session.playing or session.over:
+            del self.sessions[session.request]
+            self._seat(session, -1)
+            if session.playing and event.outcome is Outcome.RESET:
+                self.broken.append((now, session))
+            return
+        if event.outcome is Outcome.NOT_SENT or (session.may_have_run and self._class(session).effect is not Effect.FREE):
+            self._end(session)
+        else:
+            self._try(now, session)
+
+    def _playing(self, now: int, event: api.Playing) -> None:
+        server = self.servers.get(event.server)
+        if server is not None:
+            server.strikes = server.suspect_until = 0
+            if server.up_since is None:
+                server.up_since = now
+        session = self.sessions.get(event.request)
+        if session is not None and session.server == event.server:
+            session.playing = session.may_have_run = True
+
+    def _open(self, now: int, event: api.SessionOpen) -> None:
+        service = self.settings.classes[event.service]
+        session = _Session(event.request, event.service, event.tenant, event.title, event.best_rung, service.worth)
+        session.server, session.attempts, session.playing, session.may_have_run = event.server, 1, True, True
+        session.ends = now + (event.length_hint or DEFAULT_LENGTH)
+        session.rung, session.kb = service.floor, self._rate(session, service.floor)
+        self.sessions[event.request] = session
+        self._seat(session, 1)
+        server = self.servers.get(event.server)
+        if server is not None:
+            server.sessions[event.request] = session
+            self._charge(now, server, session, session.kb)
+
+    def _viewer_gone(self, event: api.ViewerGone) -> None:
+        session = self.sessions.get(event.request)
+        if session is None or session.over:
+            return
+        session.over = True  # its attempt still runs and holds its seat until its end is told
+        if session.server is not None and not session.playing and self.settings.may_cancel:
+            self.actions.append(api.Cancel(session.request, session.attempts - 1))
+
+    # Admission
+
+    def _admit(self, now: int, session: _Session) -> tuple[_Server, int] | None:
+        """Find the highest rung worth its room that passes the slot test at a holder, roomiest first."""
+        holders = self._holders(now, session)
+        if not holders:
+            return None
+        service = self._class(session)
+        heard = any(server.link.use is not None for server in self.servers.values())
+        unheard = self._mean_use()
+        racks = [self._uplink_need(now, rack, unheard) for rack in range(self.settings.racks)]
+        ordered = []
+        for server in holders:
+            link_need = server.link.need(now, unheard)
+            limit = server.link.limit * self._warmth(now, server)
+            uplink = self.uplinks[server.rack].limit
+            link_room = limit * MARK - link_need
+            rack_room = uplink * MARK - racks[server.rack]
+            order = min(link_room / limit, rack_room / uplink if uplink < math.inf else 1.0)
+            if server.entry.zone == self.settings.zone:
+                order += OWN_ZONE
+            suspect = now < server.suspect_until
+            ordered.append((suspect, -order, self.random.random(), server, min(link_room, rack_room)))
+        ordered.sort(key=lambda each: each[:3])
+        need = sum(racks)
+        top = self._worth_its_room(now, session, need)
+        for rung in range(top, service.floor - 1, -1):
+            kb = self._rate(session, rung)
+            for _, _, _, server, room in ordered:
+                if not heard or kb <= room:
+                    return server, rung
+        return None
+
+    def _holders(self, now: int, session: _Session) -> list[_Server]:
+        cells = self.settings.cells
+        found = []
+        for server in self.servers.values():
+            entry = server.entry
+            if entry.state is not ServerState.READY or entry.server in session.tried:
+                continue
+            if cells and (entry.cell - session.home) % cells >= session.copies:
+                continue
+            if self._cold_pace(now, server):
+                found.append(server)
+        return found
+
+    def _mean_use(self) -> float:
+        uses = [each.link.use for each in self.servers.values() if each.link.use is not None]
+        return sum(uses) / len(uses) if uses else 0.0
+
+    def _uplink_need(self, now: int, rack: int, unheard: float) -> float:
+        pipe = self.uplinks[rack]
+        if pipe.use is not None:
+            return pipe.need(now, unheard)
+        return sum(
+            each.link.need(now, unheard)
+            for each in self.servers.values()
+            if each.rack == rack and each.entry.state is not ServerState.GONE
+        )
+
+    def _worth_its_room(self, now: int, session: _Session, need: float) -> int:
+        """Give the highest rung whose last step is worth its rate at the going price of room.
+
+        Trunk reservation: the room goes to the steps that earn most for a kB. Were all sessions of this
+        gateway set at one price, their rates would fill its part of the fleet's room: that price holds. At
+        light use every step is worth its rate, so sessions go at the viewer's top rung. May hurt when this
+        gateway's sessions are unlike the others'.
+        """
+        if now - self.price_at >= PRICE_AGE:
+            self.price_at = now
+            self.price_steps = self._price(now, need)
+        rung = self._class(session).floor
+        for upper, density in self._steps(session):
+            if upper > session.best:
+                break
+            part = next((part for level, part in self.price_steps if level <= density), 0.0)
+            level = next((level for level, _ in self.price_steps if level <= density), None)
+            if level is None or density > level or self.random.random() < part:
+                rung = upper
+            else:
+                break
+        return min(rung, session.best)
+
+    def _price(self, now: int, need: float) -> list[tuple[float, float]]:
+        """Give the marginal step's density and the part of it that still fits; empty: no price."""
+        while self.broken and self.broken[0][0] < now - DEMAND_MEMORY:
+            self.broken.popleft()
+        mine = [each for each in self.sessions.values() if each.server is not None]
+        own = sum(each.kb for each in mine)
+        if own <= 0 or need <= 0:
+            return [(0.0, 1.0)]
+        room = 0.0
+        for rack, uplink in enumerate(self.uplinks):
+            links = sum(
+                each.link.limit * self._warmth(now, each)
+                for each in self.servers.values()
+                if each.rack == rack and each.entry.state is ServerState.READY
+            )
+            room += min(links, uplink.limit) * MARK
+        left = own * room / need
+        steps: dict[float, float] = {}
+        for each in [*mine, *(session for _, session in self.broken)]:
+            below = 0.0
+            floor = self._class(each).floor
+            left -= self._rate(each, floor)
+            below = self._rate(each, floor)
+            for upper, density in self._steps(each):
+                if upper > each.best:
+                    break
+                kb = self._rate(each, upper)
+                steps[density] = steps.get(density, 0.0) + kb - below
+                below = kb
+        for density in sorted(steps, reverse=True):
+            if steps[density] > left:
+                return [(density, max(0.0, left / steps[density]))]
+            left -= steps[density]
+        return [(0.0, 1.0)]
+
+    def _steps(self, session: _Session) -> list[tuple[int, float]]:
+        """Give the class's steps above its floor as (rung, worth gained for a kB), best first.
+
+        Rungs off the upper hull of worth over rate are left out: the next one earns more for a kB.
+        """
+        s, service = self.settings, self._class(session)
+        steps: list[tuple[int, float]] = []
+        at, top = service.floor, min(service.top, len(s.rung_kb) - 1, session.best)
+        while at < top:
+            gains = [
+                (session.worth * (s.rung_worth[up] - s.rung_worth[at]) / max(1e-9, self._rate(session, up) - self._rate(session, at)), up)
+                for up in range(at + 1, top + 1)
+            ]
+            density, at = max(gains)
+            steps.append((at, density))
+        return steps
+
+    def _rate(self, session: _Session, rung: int) -> float:
+        return self.settings.rung_kb[rung] * self._class(session).scale
+
+    def _class(self, session: _Session) -> api.ServiceClass:
+        return self.settings.classes[session.service]
+
+    def _charge(self, now: int, server: _Server, session: _Session, kb: float) -> None:
+        server.link.charge(now, session.ends, kb)
+        self.uplinks[server.rack].charge(now, session.ends, kb)
+
+    # Guards
+
+    def _seat(self, session: _Session, by: int) -> None:
+        if self._class(session).seats > 0:
+            key = (session.service, session.title)
+            self.seats[key] = self.seats.get(key, 0) + by
+            if not self.seats[key]:
+                del self.seats[key]
+
+    def _may_attempt(self, now: int, session: _Session) -> bool:
+        """Tell whether seats, viewer's rungs, the cap on attempts and their budget allow one more."""
+        s, service = self.settings, self._class(session)
+        if session.best < service.floor or session.attempts >= s.max_attempts:
+            return False
+        if not session.attempts:
+            return not service.seats or self.seats.get((session.service, session.title), 0) < service.seats
+        if s.budget:
+            for times in (self.resends, self.taken):
+                while times and times[0] <= now - s.budget.span:
+                    times.popleft()
+            return len(self.resends) + 1 <= s.budget.free + s.budget.ratio * len(self.taken)
+        return True
+
+    def _warm_from(self, now: int, server: _Server) -> int:
+        """Give the latest time at which the server may have started, as far as this gateway can tell."""
+        start = max(server.entry.started, self.started)
+        if server.warned > server.entry.started:
+            start = max(start, server.up_since if server.up_since is not None else now)
+        return start
+
+    def _warmth(self, now: int, server: _Server) -> float:
+        s = self.settings
+        if not s.cold or now - server.entry.started >= s.cold or not server.entry.started:
+            return 1.0
+        return s.cold_from + (1 - s.cold_from) * max(0, now - server.entry.started) / s.cold
+
+    def _cold_pace(self, now: int, server: _Server) -> bool:
+        """Tell whether a server that may be cold can take one more set-up of this gateway.
+
+        Danger: a returning server looks empty to all gateways at once and falls over under their set-ups.
+        Each keeps its part of the budget in every window; where that part is under one set-up the gateways
+        take turns by the clock. Holds for restarts, successors, unlisted returns after a broken connection
+        and this gateway's own restart. May hurt: a reset that was no restart slows a warm server.
+        """
+        s = self.settings
+        while server.sent and server.sent[0] <= now - s.fall:
+            server.sent.popleft()
+        if not s.cold or now - self._warm_from(now, server) >= s.cold:
+            return True
+        budget = s.fall_multiple * self._streams(server.entry.kind) / s.cold * s.cold_from * s.fall
+        share = int(budget / s.instances)
+        if share:
+            return len(server.sent) < share
+        gap = 1 if budget >= 2 else 2
+        turn = now // s.fall % (gap * s.instances) == gap * s.instance
+        return budget >= 1 and turn and not server.sent
+
+    def _judge(self, now: int, server: _Server, event: api.AttemptEnd) -> None:
+        """Learn of a server's health from how an attempt ended.
+
+        Danger: a server that errs at once or stands still looks empty and draws sessions. After a failure
+        others are tried first, for longer with each in a row; when all holders are suspect they are
+        as good as each other, so a fault seen everywhere shuts out nobody.
+        """
+        if event.outcome in (Outcome.RESET, Outcome.CONNECT_FAILED):
+            server.warned, server.up_since = now, None
+        if event.outcome is Outcome.FULL:
+            server.suspect_until = max(server.suspect_until, now + FULL_PAUSE)
+        elif event.outcome in (Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.CONNECT_FAILED):
+            server.suspect_until = now + min(SUSPECT_MAX, SUSPECT << min(server.strikes, 10))
+            server.strikes += 1
+
+    # Notes
+
+    def _note(self, now: int, event: api.Note) -> None:
+        session = self.sessions.get(event.request)
+        server = self.servers.get(event.server)
+        if event.kind is NoteKind.RUNG:
+            if session is not None and math.isfinite(event.value):
+                rung = min(max(0, int(event.value)), len(self.settings.rung_kb) - 1)
+                self._set_rung(now, session, rung)
+            return
+        if server is None or not 0 <= event.value <= MAX_USE:
+            return
+        if event.kind is NoteKind.DELIVERED:
+            self._short(now, server, event.value)
+            return
+        fresh = session is not None and session.playing and not session.noted
+        seen = now if fresh else now - self.settings.note_age
+        if event.kind is NoteKind.LINK:
+            server.link.note(seen, event.value)
+            if session is not None and not self._has_uplink_notes():
+                session.noted = True
+        else:
+            self.uplinks[server.rack].note(seen, event.value)
+            if session is not None:
+                session.noted = True
+
+    def _has_uplink_notes(self) -> bool:
+        return "x1" in self.settings.load_fields
+
+    def _load(self, now: int, server_id: bytes, load: Iterable[float]) -> None:
+        server = self.servers.get(server_id)
+        if server is None:
+            return
+        for name, value in zip(self.settings.load_fields, load, strict=False):
+            if not 0 <= value <= MAX_USE:
+                continue
+            if name == "x0":
+                server.link.note(now - self.settings.note_age, value)
+            elif name == "x1":
+                self.uplinks[server.rack].note(now - self.settings.note_age, value)
+
+    def _set_rung(self, now: int, session: _Session, rung: int) -> None:
+        """Book a change of a session's rung."""
+        kb = self._rate(session, rung)
+        server = self.servers.get(session.server) if session.server is not None else None
+        if server is not None:
+            self._charge(now, server, session, kb - session.kb)
+        session.rung, session.kb = rung, kb
+
+    def _short(self, now: int, server: _Server, share: float) -> None:
+        """Step rungs down where delivery is really short.
+
+        Danger: a link or uplink that gives less than told, or titles far above their rung's rate, starve
+        every session there, and each missing point costs several of worth. Each gateway takes its sessions
+        there down to what is delivered, least worth for a kB first, once, then waits for notes to show it.
+        May hurt when the shortness passes by itself: the steps stay.
+        """
+        s = self.settings
+        if not DEAD_BELOW <= share < SHED_BELOW or now - server.shed_at < s.note_age + SHED_WAIT:
+            return
+        server.shed_at = now
+        playing = [each for each in server.sessions.values() if each.playing and not each.over]
+        excess = sum(each.kb for each in playing) * (1 - share * SHED_TO)
+        steps = []
+        for session in playing:
+            below = self._class(session).floor
+            for upper, density in self._steps(session):
+                if upper <= session.rung:
+                    steps.append((density, session.request, below, session))
+                below = upper
+        steps.sort(key=lambda each: each[:2])
+        changed = []
+        for _, _, below, session in steps:
+            if excess <= 0:
+                break
+            excess -= session.kb - self._rate(session, below)
+            self._set_rung(now, session, below)
+            if session not in changed:
+                changed.append(session)
+        self.actions += [api.SetRung(session.request, session.rung) for session in changed]
+
+
+def _gone(entry: api.ListEntry) -> api.ListEntry:
+    return api.ListEntry(
+        entry.server, ServerState.GONE, entry.started, entry.cell, entry.zone, entry.kind, entry.weight
+    )
