--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -32,6 +32,10 @@
 SHED_BELOW = 0.96  # delivered share under which rungs are stepped down: a little short costs less than a step
 SHED_TO = 0.95  # part of what is delivered that the rungs kept may ask for, so that one step is enough
 SHED_WAIT = 2 * SECOND  # µs beside the age of notes before the same server is judged again
+NOTE_FADES = 12 * SECOND  # µs; in that time a noted use turns into the fleet's average: a few times a note's period
+SHORT_BELOW = 0.98  # delivered share under which a link or uplink is known to be full
+FULL_LINK = 0.95  # noted use under which a link is not what makes delivery short
+UPLINK_LEAST = 0.5  # least part of an uplink's told rate that it is taken for, whatever shares seem to say
 DEAD_BELOW = 0.1  # delivered share under which the server stands still: smaller rungs would not help
 DEMAND_MEMORY = 4 * SECOND  # µs; broken sessions count as demand so long: most viewers are back by then
 PRICE_AGE = SECOND // 4  # µs; the price of room is worked out anew so often
@@ -40,12 +44,13 @@
 class _Pipe:
     """Slot account of a link or an uplink: its noted use, and what this gateway changed since then."""
 
-    __slots__ = ("at", "changes", "limit", "use")
+    __slots__ = ("at", "changes", "limit", "short_at", "use")
 
     def __init__(self, limit: float) -> None:
         self.limit = limit
         self.use: float | None = None
         self.at = -1
+        self.short_at = 0
         self.changes: deque[tuple[int, int, float]] = deque()
 
     def charge(self, now: int, ends: int, kb: float) -> None:
@@ -71,10 +76,19 @@
         return sum(kb for _, last, kb in self.changes)
 
     def need(self, now: int, unheard: float) -> float:
-        """Give the rate asked in the fullest slot; `unheard` is the use taken where none was noted."""
-        use = unheard if self.use is None else self.use
+        """Give the rate asked in the fullest slot; `unheard` is the use taken where none was noted.
+
+        An old note fades towards that: no new one comes where this gateway holds no session any more, and a
+        server once noted as full would stay shut out for good.
+        """
+        fresh = self.fresh(now)
+        use = unheard if self.use is None else fresh * self.use + (1 - fresh) * unheard
         return max(0.0, use * self.limit + self.changed(now))
 
+    def fresh(self, now: int) -> float:
+        """Give the weight of the note: 1 when new, 0 when nobody can say any more."""
+        return 0.0 if self.use is None else max(0.0, 1 - (now - self.at) / NOTE_FADES)
+
 
 @dataclass(slots=True)
 class _Server:
@@ -116,6 +130,7 @@
     playing: bool = False
     noted: bool = False
     over: bool = False  # its final answer is given or no longer owed
+    unsettled: bool = False  # its rung was not decided by admission here
 
 
 class Controller:
@@ -303,6 +318,7 @@
         session.server, session.attempts, session.playing, session.may_have_run = event.server, 1, True, True
         session.ends = now + (event.length_hint or DEFAULT_LENGTH)
         session.rung, session.kb = service.floor, self._rate(session, service.floor)
+        session.unsettled = True
         self.sessions[event.request] = session
         self._seat(session, 1)
         server = self.servers.get(event.server)
@@ -327,7 +343,7 @@
             return None
         service = self._class(session)
         heard = any(server.link.use is not None for server in self.servers.values())
-        unheard = self._mean_use()
+        unheard = self._mean_use(now)
         racks = [self._uplink_need(now, rack, unheard) for rack in range(self.settings.racks)]
         ordered = []
         for server in holders:
@@ -364,9 +380,10 @@
                 found.append(server)
         return found
 
-    def _mean_use(self) -> float:
-        uses = [each.link.use for each in self.servers.values() if each.link.use is not None]
-        return sum(uses) / len(uses) if uses else 0.0
+    def _mean_use(self, now: int) -> float:
+        heard = [each.link for each in self.servers.values() if each.link.use is not None]
+        weights = [pipe.fresh(now) + 0.01 for pipe in heard]
+        return sum(pipe.use * weight for pipe, weight in zip(heard, weights, strict=True)) / (sum(weights) or 1.0)
 
     def _uplink_need(self, now: int, rack: int, unheard: float) -> float:
         pipe = self.uplinks[rack]
@@ -417,7 +434,8 @@
                 if each.rack == rack and each.entry.state is ServerState.READY
             )
             room += min(links, uplink.limit) * MARK
-        left = own * room / need
+        heard = any(each.link.use is not None for each in self.servers.values())
+        left = own * room / need if heard else room / self.settings.instances
         steps: dict[float, float] = {}
         for each in [*mine, *(session for _, session in self.broken)]:
             below = 0.0
@@ -556,6 +574,7 @@
             server.link.note(seen, event.value)
             if session is not None and not self._has_uplink_notes():
                 session.noted = True
+            self._settle(now, server)
         else:
             self.uplinks[server.rack].note(seen, event.value)
             if session is not None:
@@ -584,6 +603,44 @@
             self._charge(now, server, session, kb - session.kb)
         session.rung, session.kb = rung, kb
 
+    def _settle(self, now: int, server: _Server) -> None:
+        """Bring sessions whose rung was never decided here to the rung that admission would give them.
+
+        Danger: sessions found playing at the start sit on the rung that somebody else left them on, and stay
+        there while links are idle. Once each, when the server's use is noted, they go through the slot test
+        where they play, in this gateway's part of the room, as all gateways hear the note at once.
+        May hurt when many viewers are about to come: their room is taken.
+        """
+        waiting = [e for e in server.sessions.values() if e.unsettled and e.playing and not e.over]
+        if not waiting:
+            return
+        unheard = self._mean_use(now)
+        racks = [self._uplink_need(now, rack, unheard) for rack in range(self.settings.racks)]
+        link_room = server.link.limit * self._warmth(now, server) * MARK - server.link.need(now, unheard)
+        rack_room = self.uplinks[server.rack].limit * MARK - racks[server.rack]
+        room = min(link_room, rack_room) / self.settings.instances
+        for session in sorted(waiting, key=lambda e: (-e.worth, e.request)):
+            for rung in range(self._worth_its_room(now, session, sum(racks)), session.rung, -1):
+                more = self._rate(session, rung) - session.kb
+                if more <= room:
+                    room -= more
+                    session.unsettled = False
+                    self._set_rung(now, session, rung)
+                    self.actions.append(api.SetRung(session.request, rung))
+                    break
+
+    def _learn_uplink(self, now: int, server: _Server, share: float) -> None:
+        """Correct an uplink's told rate where delivery is short though the server's own link has room.
+
+        Danger: uplinks differ from what is told, and where no report speaks of them only the delivered share
+        shows it. Holds for any bottleneck that servers of a rack share. May hurt when a link's note is old.
+        """
+        uplink = self.uplinks[server.rack]
+        if uplink.use is None and server.link.use is not None and server.link.use < FULL_LINK:
+            asked = self._uplink_need(now, server.rack, self._mean_use(now))
+            uplink.limit = max(asked * share, self.settings.uplink_kb * UPLINK_LEAST)
+            uplink.short_at = now
+
     def _short(self, now: int, server: _Server, share: float) -> None:
         """Step rungs down where delivery is really short.
 
@@ -593,6 +650,8 @@
         May hurt when the shortness passes by itself: the steps stay.
         """
         s = self.settings
+        if DEAD_BELOW <= share < SHORT_BELOW:
+            pass  # self._learn_uplink(now, server, share)
         if not DEAD_BELOW <= share < SHED_BELOW or now - server.shed_at < s.note_age + SHED_WAIT:
             return
         server.shed_at = now
