--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -21,6 +21,7 @@
 SLOT = SECOND  # µs; a slot of the link account: the design's second, well under a session's length
 DEFAULT_LENGTH = 120 * SECOND  # µs; charge of a session with no hint: over the usual length, as ends are told
 MARK = 0.9  # part of a link that the slot test may fill: room for rates above the ladder and late notes
+FILL = 0.8  # part of the room that the price of room fills: what lies up to the mark is kept for newcomers
 MAX_USE = 20.0  # noted use above this is taken for a broken report
 OWN_ZONE = 0.03  # room that a holder in the own zone is thought to have more: crossings are priced
 RETRY_ADVICE = SECOND  # µs; after a refusal: about one session of a server ends in that time
@@ -147,7 +148,7 @@
         self.taken: deque[int] = deque()
         self.broken: deque[tuple[int, _Session]] = deque()
         self.started = 0
-        self.price_steps: list[tuple[float, float]] = []
+        self.price = (0.0, 1.0)  # worth for a kB of the marginal step, and the part of it that fits
         self.price_at = -PRICE_AGE
         self.actions: list[api.Action] = []
 
@@ -243,7 +244,7 @@
         if session.deadline - now >= MIN_LEFT and self._may_attempt(now, session):
             choice = self._admit(now, session)
         if choice is None:
-            self._end(session)
+            self._end(now, session)
             return
         server, rung = choice
         if not session.attempts or rung != session.rung:
@@ -264,7 +265,7 @@
             timeout = min(session.deadline, now + TRY_TIME)
         self.actions.append(api.SetUp(session.request, session.server, timeout))
 
-    def _end(self, session: _Session) -> None:
+    def _end(self, now: int, session: _Session) -> None:
         """Answer a request that goes nowhere: refused if that is safe, else failed."""
         session.over = True
         del self.sessions[session.request]
@@ -273,6 +274,7 @@
         if session.may_have_run and self._class(session).effect is not Effect.FREE:
             self.actions.append(api.Fail(session.request))
             return
+        self.broken.append((now, session))
         s = self.settings
         advice = min(RETRY_ADVICE, s.max_retry_after) if s.may_advise else 0
         self.actions.append(api.Refuse(session.request, advice))
@@ -298,7 +300,7 @@
                 self.broken.append((now, session))
             return
         if event.outcome is Outcome.NOT_SENT or (session.may_have_run and self._class(session).effect is not Effect.FREE):
-            self._end(session)
+            self._end(now, session)
         else:
             self._try(now, session)
 
@@ -405,27 +407,25 @@
         """
         if now - self.price_at >= PRICE_AGE:
             self.price_at = now
-            self.price_steps = self._price(now, need)
+            self.price = self._price(now, need)
         rung = self._class(session).floor
         for upper, density in self._steps(session):
             if upper > session.best:
                 break
-            part = next((part for level, part in self.price_steps if level <= density), 0.0)
-            level = next((level for level, _ in self.price_steps if level <= density), None)
-            if level is None or density > level or self.random.random() < part:
-                rung = upper
-            else:
+            level, part = self.price
+            if density < level or (density == level and self.random.random() >= part):
                 break
-        return min(rung, session.best)
+            rung = upper
+        return rung
 
-    def _price(self, now: int, need: float) -> list[tuple[float, float]]:
-        """Give the marginal step's density and the part of it that still fits; empty: no price."""
+    def _price(self, now: int, need: float) -> tuple[float, float]:
+        """Give the marginal step's worth for a kB and the part of such steps that still fits."""
         while self.broken and self.broken[0][0] < now - DEMAND_MEMORY:
             self.broken.popleft()
         mine = [each for each in self.sessions.values() if each.server is not None]
         own = sum(each.kb for each in mine)
         if own <= 0 or need <= 0:
-            return [(0.0, 1.0)]
+            return 0.0, 1.0
         room = 0.0
         for rack, uplink in enumerate(self.uplinks):
             links = sum(
@@ -433,7 +433,7 @@
                 for each in self.servers.values()
                 if each.rack == rack and each.entry.state is ServerState.READY
             )
-            room += min(links, uplink.limit) * MARK
+            room += min(links, uplink.limit) * FILL
         heard = any(each.link.use is not None for each in self.servers.values())
         left = own * room / need if heard else room / self.settings.instances
         steps: dict[float, float] = {}
@@ -450,9 +450,9 @@
                 below = kb
         for density in sorted(steps, reverse=True):
             if steps[density] > left:
-                return [(density, max(0.0, left / steps[density]))]
+                return density, max(0.0, left / steps[density])
             left -= steps[density]
-        return [(0.0, 1.0)]
+        return 0.0, 1.0
 
     def _steps(self, session: _Session) -> list[tuple[int, float]]:
         """Give the class's steps above its floor as (rung, worth gained for a kB), best first.
