--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -20,8 +20,8 @@
 SECOND = 1_000_000
 SLOT = SECOND  # µs; a slot of the link account: the design's second, well under a session's length
 DEFAULT_LENGTH = 120 * SECOND  # µs; charge of a session with no hint: over the usual length, as ends are told
-MARK = 0.9  # part of a link that the slot test may fill: room for rates above the ladder and late notes
-FILL = 0.8  # part of the room that the price of room fills: what lies up to the mark is kept for newcomers
+MARK = 0.97  # part of a link that the slot test may fill: room for rates above the ladder and late notes
+FILL = 0.9  # part of the room that the price of room fills: what lies up to the mark is kept for newcomers
 MAX_USE = 20.0  # noted use above this is taken for a broken report
 OWN_ZONE = 0.03  # room that a holder in the own zone is thought to have more: crossings are priced
 RETRY_ADVICE = SECOND  # µs; after a refusal: about one session of a server ends in that time
