--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -33,7 +33,9 @@
 SHED_BELOW = 0.96  # delivered share under which rungs are stepped down: a little short costs less than a step
 SHED_TO = 0.95  # part of what is delivered that the rungs kept may ask for, so that one step is enough
 SHED_WAIT = 2 * SECOND  # µs beside the age of notes before the same server is judged again
-NOTE_FADES = 12 * SECOND  # µs; in that time a noted use turns into the fleet's average: a few times a note's period
+NOTE_FADES = (
+    12 * SECOND
+)  # µs; in that time a noted use turns into the fleet's average: a few times a note's period
 SHORT_BELOW = 0.98  # delivered share under which a link or uplink is known to be full
 FULL_LINK = 0.95  # noted use under which a link is not what makes delivery short
 UPLINK_LEAST = 0.5  # least part of an uplink's told rate that it is taken for, whatever shares seem to say
@@ -193,7 +195,9 @@
         for entry in event.entries:
             server = self.servers.get(entry.server)
             if server is None:
-                server = self.servers[entry.server] = _Server(entry, _Pipe(1.0), entry.cell % self.settings.racks)
+                server = self.servers[entry.server] = _Server(
+                    entry, _Pipe(1.0), entry.cell % self.settings.racks
+                )
             elif entry.started > server.entry.started:  # a new process: what was learned of the old is void
                 server.link.use, server.link.at = None, -1
                 server.strikes = server.suspect_until = 0
@@ -211,7 +215,9 @@
         mean = sum(streams) / len(streams)
         for server, count in zip(ready, streams, strict=True):
             unit = s.weight_kb or (s.links_kb / len(ready)) or math.inf
-            server.link.limit = unit * (server.entry.weight if s.weights_told else count / mean if mean else 1.0)
+            server.link.limit = unit * (
+                server.entry.weight if s.weights_told else count / mean if mean else 1.0
+            )
 
     def _streams(self, kind: int) -> int:
         told = self.settings.kind_streams
@@ -299,7 +305,9 @@
             if session.playing and event.outcome is Outcome.RESET:
                 self.broken.append((now, session))
             return
-        if event.outcome is Outcome.NOT_SENT or (session.may_have_run and self._class(session).effect is not Effect.FREE):
+        if event.outcome is Outcome.NOT_SENT or (
+            session.may_have_run and self._class(session).effect is not Effect.FREE
+        ):
             self._end(now, session)
         else:
             self._try(now, session)
@@ -316,7 +324,9 @@
 
     def _open(self, now: int, event: api.SessionOpen) -> None:
         service = self.settings.classes[event.service]
-        session = _Session(event.request, event.service, event.tenant, event.title, event.best_rung, service.worth)
+        session = _Session(
+            event.request, event.service, event.tenant, event.title, event.best_rung, service.worth
+        )
         session.server, session.attempts, session.playing, session.may_have_run = event.server, 1, True, True
         session.ends = now + (event.length_hint or DEFAULT_LENGTH)
         session.rung, session.kb = service.floor, self._rate(session, service.floor)
@@ -385,7 +395,9 @@
     def _mean_use(self, now: int) -> float:
         heard = [each.link for each in self.servers.values() if each.link.use is not None]
         weights = [pipe.fresh(now) + 0.01 for pipe in heard]
-        return sum(pipe.use * weight for pipe, weight in zip(heard, weights, strict=True)) / (sum(weights) or 1.0)
+        return sum(pipe.use * weight for pipe, weight in zip(heard, weights, strict=True)) / (
+            sum(weights) or 1.0
+        )
 
     def _uplink_need(self, now: int, rack: int, unheard: float) -> float:
         pipe = self.uplinks[rack]
@@ -464,7 +476,12 @@
         at, top = service.floor, min(service.top, len(s.rung_kb) - 1, session.best)
         while at < top:
             gains = [
-                (session.worth * (s.rung_worth[up] - s.rung_worth[at]) / max(1e-9, self._rate(session, up) - self._rate(session, at)), up)
+                (
+                    session.worth
+                    * (s.rung_worth[up] - s.rung_worth[at])
+                    / max(1e-9, self._rate(session, up) - self._rate(session, at)),
+                    up,
+                )
                 for up in range(at + 1, top + 1)
             ]
             density, at = max(gains)
--- a/mintmast/wire.py
+++ b/mintmast/wire.py
@@ -144,9 +144,21 @@
         return instance, event, at + _ORDER.size
 
     def _already_open(self, body: bytes, at: int) -> tuple[int, api.SessionOpen, int]:
-        (instance, ref, service, tenant, _key, title, _budget, hint, _home, _copies, best, options, server) = (
-            _ALREADY_OPEN.unpack_from(body, at)
-        )
+        (
+            instance,
+            ref,
+            service,
+            tenant,
+            _key,
+            title,
+            _budget,
+            hint,
+            _home,
+            _copies,
+            best,
+            options,
+            server,
+        ) = _ALREADY_OPEN.unpack_from(body, at)
         event = api.SessionOpen(
             ref, service, tenant, title, int(best), server, hint if options & HINT_GIVEN else 0
         )
@@ -180,7 +192,11 @@
     def _echo(self, body: bytes, at: int) -> tuple[int, api.ProbeResult, int]:
         instance, took, server, code, n = _ECHO.unpack_from(body, at)
         at += _ECHO.size
-        return instance, api.ProbeResult(server, _outcome(code), took, _FLOATS[n].unpack_from(body, at)), at + 4 * n
+        return (
+            instance,
+            api.ProbeResult(server, _outcome(code), took, _FLOATS[n].unpack_from(body, at)),
+            at + 4 * n,
+        )
 
     def _mail(self, body: bytes, at: int) -> tuple[int, api.PeerMessage, int]:
         instance, sender, n = _MAIL.unpack_from(body, at)
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,134 @@
+"""The ordinary path: slot test, holder order, rungs by the price of room, sessions found open."""
+
+import math
+
+import pytest
+from helpers import T0, S, box, end, fleet, kinds, request, sent, use
+
+from mintmast import decide
+from mintmast import interface as api
+
+BOX = [box(n).server for n in range(4)]
+
+
+def rung(actions):
+    (found,) = [a.rung for a in actions if isinstance(a, api.SetRung)]
+    return found
+
+
+def test_heard_nothing_admits_at_the_top_rung():
+    actions = fleet().handle(T0, request(1))
+    assert kinds(actions) == ["SetRung", "SetUp"] and rung(actions) == 3
+
+
+def test_slot_test_at_its_edge():
+    limit = 10_000 * decide.MARK
+    for need, expected in ((limit - 200, 1), (limit - 199, 0)):
+        gateway = fleet(1)
+        use(gateway, T0, BOX[0], need / 10_000)
+        actions = gateway.handle(T0, request(1, best=0))
+        assert len(sent(actions)) == expected
+        assert expected or kinds(actions) == ["Refuse"]
+
+
+def test_uplink_is_tested_too():
+    gateway = fleet(1, uplink_kb=5_000.0)
+    use(gateway, T0, BOX[0], 0.5)
+    assert kinds(gateway.handle(T0, request(1))) == ["Refuse"]
+
+
+def test_refusal_tells_when_to_return_and_only_if_heeded():
+    gateway = fleet(0)
+    assert gateway.handle(T0, request(1)) == [api.Refuse(1, 500_000)]
+    assert fleet(0, may_advise=False).handle(T0, request(1)) == [api.Refuse(1, 0)]
+
+
+def test_roomiest_holder_first_and_only_holders():
+    gateway = fleet(4)
+    for n, load in enumerate((0.5, 0.1, 0.3, 0.6)):
+        use(gateway, T0, BOX[n], load, 9000 + n)
+    assert sent(gateway.handle(T0, request(1)))[0].server == BOX[1]
+    assert sent(gateway.handle(T0, request(2, home=2, copies=2)))[0].server == BOX[2]
+
+
+def test_ties_are_drawn_from_the_seed():
+    picks = [sent(fleet(4, seed=n).handle(T0, request(1)))[0].server for n in range(20)]
+    assert len(set(picks)) > 1
+    assert picks == [sent(fleet(4, seed=n).handle(T0, request(1)))[0].server for n in range(20)]
+
+
+def test_lower_rung_where_the_top_does_not_fit():
+    gateway = fleet(1)
+    use(gateway, T0, BOX[0], 0.8)
+    assert 0 <= rung(gateway.handle(T0, request(1))) < 3
+
+
+def test_a_step_worth_less_than_the_price_is_not_taken():
+    gateway = fleet(1)
+    use(gateway, T0, BOX[0], 0.9)
+    gateway.handle(T0, request(1))
+    assert gateway.price[0] > 0
+    gateway.price_at, gateway.price = T0, (1.0, 1.0)
+    assert rung(gateway.handle(T0, request(2, best=3))) == 0
+
+
+def test_ended_sessions_leave_the_account():
+    gateway = fleet(1)
+    server = gateway.servers[BOX[0]]
+    gateway.handle(T0, request(1))
+    assert server.link.changed(T0) == 2000
+    gateway.handle(T0 + S, end(1, BOX[0], api.Outcome.SERVED, complete=True))
+    assert server.link.changed(T0 + S) == 0
+
+
+def test_charges_end_with_the_hint():
+    gateway = fleet(1)
+    gateway.handle(T0, request(1, hint=10 * S))
+    link = gateway.servers[BOX[0]].link
+    assert link.changed(T0 + 10 * S) == 2000
+    assert link.changed(T0 + 11 * S) == 0
+
+
+def test_old_notes_fade_to_the_average():
+    gateway = fleet(2)
+    use(gateway, T0, BOX[0], 1.0)
+    later = T0 + decide.NOTE_FADES
+    use(gateway, later, BOX[1], 0.2, 9001)
+    assert gateway.servers[BOX[0]].link.need(later, 0.2) < 3000
+
+
+def test_open_session_is_settled_once_when_its_link_is_noted():
+    gateway = fleet(1)
+    gateway.handle(T0, api.SessionOpen(1, 1, 0, 5, 3, BOX[0], 90 * S))
+    gateway.handle(T0, api.Note(1, BOX[0], api.NoteKind.RUNG, 0.0))
+    actions = gateway.handle(T0 + S, api.Note(1, BOX[0], api.NoteKind.LINK, 0.1))
+    assert rung(actions) == 3
+    assert not gateway.handle(T0 + 4 * S, api.Note(1, BOX[0], api.NoteKind.LINK, 0.1))
+
+
+@pytest.mark.parametrize("value", [math.nan, -1.0, math.inf, 1e30])
+def test_senseless_load_values_change_nothing(value):
+    gateway = fleet(1)
+    use(gateway, T0, BOX[0], 0.2)
+    gateway.handle(T0, api.Note(9000, BOX[0], api.NoteKind.LINK, value))
+    gateway.handle(T0, api.Note(9000, BOX[0], api.NoteKind.RUNG, value))
+    gateway.handle(T0, api.Note(9000, BOX[0], api.NoteKind.DELIVERED, value))
+    gateway.handle(T0, end(77, BOX[0], api.Outcome.SERVED, complete=True, load=(value, value)))
+    assert gateway.servers[BOX[0]].link.use == 0.2
+    assert sent(gateway.handle(T0, request(1)))
+
+
+def test_short_delivery_steps_rungs_down_once():
+    gateway = fleet(1)
+    (_, set_up) = gateway.handle(T0, request(1))
+    gateway.handle(T0, api.Playing(1, 0, set_up.server, 1000))
+    short = api.Note(1, BOX[0], api.NoteKind.DELIVERED, 0.7)
+    assert rung(gateway.handle(T0 + S, short)) < 3
+    assert not gateway.handle(T0 + 2 * S, short)
+
+
+def test_a_server_that_stands_still_is_not_met_with_lower_rungs():
+    gateway = fleet(1)
+    (_, set_up) = gateway.handle(T0, request(1))
+    gateway.handle(T0, api.Playing(1, 0, set_up.server, 1000))
+    assert not gateway.handle(T0 + S, api.Note(1, BOX[0], api.NoteKind.DELIVERED, 0.0))
