--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -23,7 +23,7 @@
 MARK = 0.97  # part of a link that the slot test may fill: room for rates above the ladder and late notes
 FILL = 0.9  # part of the room that the price of room fills: what lies up to the mark is kept for newcomers
 MAX_USE = 20.0  # noted use above this is taken for a broken report
-OWN_ZONE = 0.03  # room that a holder in the own zone is thought to have more: crossings are priced
+OWN_ZONE = 0.06  # room that a holder in the own zone is thought to have more: crossings are priced
 RETRY_ADVICE = SECOND  # µs; after a refusal: about one session of a server ends in that time
 MIN_LEFT = 60_000  # µs; with less time left no set-up can answer, so none is sent
 TRY_TIME = SECOND  # µs; a repeatable set-up unanswered for so long is tried elsewhere: several usual set-ups
@@ -36,9 +36,6 @@
 NOTE_FADES = (
     12 * SECOND
 )  # µs; in that time a noted use turns into the fleet's average: a few times a note's period
-SHORT_BELOW = 0.98  # delivered share under which a link or uplink is known to be full
-FULL_LINK = 0.95  # noted use under which a link is not what makes delivery short
-UPLINK_LEAST = 0.5  # least part of an uplink's told rate that it is taken for, whatever shares seem to say
 DEAD_BELOW = 0.1  # delivered share under which the server stands still: smaller rungs would not help
 DEMAND_MEMORY = 4 * SECOND  # µs; broken sessions count as demand so long: most viewers are back by then
 PRICE_AGE = SECOND // 4  # µs; the price of room is worked out anew so often
@@ -47,13 +44,12 @@
 class _Pipe:
     """Slot account of a link or an uplink: its noted use, and what this gateway changed since then."""
 
-    __slots__ = ("at", "changes", "limit", "short_at", "use")
+    __slots__ = ("at", "changes", "limit", "use")
 
     def __init__(self, limit: float) -> None:
         self.limit = limit
         self.use: float | None = None
         self.at = -1
-        self.short_at = 0
         self.changes: deque[tuple[int, int, float]] = deque()
 
     def charge(self, now: int, ends: int, kb: float) -> None:
@@ -364,7 +360,7 @@
             uplink = self.uplinks[server.rack].limit
             link_room = limit * MARK - link_need
             rack_room = uplink * MARK - racks[server.rack]
-            order = min(link_room / limit, rack_room / uplink if uplink < math.inf else 1.0)
+            order = link_room / limit + (rack_room / uplink if uplink < math.inf else 1.0)
             if server.entry.zone == self.settings.zone:
                 order += OWN_ZONE
             suspect = now < server.suspect_until
@@ -646,18 +642,6 @@
                     self.actions.append(api.SetRung(session.request, rung))
                     break
 
-    def _learn_uplink(self, now: int, server: _Server, share: float) -> None:
-        """Correct an uplink's told rate where delivery is short though the server's own link has room.
-
-        Danger: uplinks differ from what is told, and where no report speaks of them only the delivered share
-        shows it. Holds for any bottleneck that servers of a rack share. May hurt when a link's note is old.
-        """
-        uplink = self.uplinks[server.rack]
-        if uplink.use is None and server.link.use is not None and server.link.use < FULL_LINK:
-            asked = self._uplink_need(now, server.rack, self._mean_use(now))
-            uplink.limit = max(asked * share, self.settings.uplink_kb * UPLINK_LEAST)
-            uplink.short_at = now
-
     def _short(self, now: int, server: _Server, share: float) -> None:
         """Step rungs down where delivery is really short.
 
@@ -667,8 +651,6 @@
         May hurt when the shortness passes by itself: the steps stay.
         """
         s = self.settings
-        if DEAD_BELOW <= share < SHORT_BELOW:
-            pass  # self._learn_uplink(now, server, share)
         if not DEAD_BELOW <= share < SHED_BELOW or now - server.shed_at < s.note_age + SHED_WAIT:
             return
         server.shed_at = now
