--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -74,7 +74,7 @@
             self.changes = deque(each for each in self.changes if each[1] >= slot)
         return sum(kb for _, last, kb in self.changes)
 
-    def need(self, now: int, unheard: float) -> float:
+    def need(self, now: int, unheard: float, echo: float = 1.0) -> float:
         """Give the rate asked in the fullest slot; `unheard` is the use taken where none was noted.
 
         An old note fades towards that: no new one comes where this gateway holds no session any more, and a
@@ -82,7 +82,7 @@
         """
         fresh = self.fresh(now)
         use = unheard if self.use is None else fresh * self.use + (1 - fresh) * unheard
-        return max(0.0, use * self.limit + self.changed(now))
+        return max(0.0, use * self.limit + self.changed(now) * echo)
 
     def fresh(self, now: int) -> float:
         """Give the weight of the note: 1 when new, 0 when nobody can say any more."""
@@ -363,14 +363,14 @@
             order = link_room / limit + (rack_room / uplink if uplink < math.inf else 1.0)
             if server.entry.zone == self.settings.zone:
                 order += OWN_ZONE
-            suspect = now < server.suspect_until
-            ordered.append((suspect, -order, self.random.random(), server, min(link_room, rack_room)))
-        ordered.sort(key=lambda each: each[:3])
+            key = (now < server.suspect_until, -order, self.random.random())
+            ordered.append((key, server, min(link_room, rack_room)))
+        ordered.sort(key=lambda each: each[0])
         need = sum(racks)
         top = self._worth_its_room(now, session, need)
         for rung in range(top, service.floor - 1, -1):
             kb = self._rate(session, rung)
-            for _, _, _, server, room in ordered:
+            for _, server, room in ordered:
                 if not heard or kb <= room:
                     return server, rung
         return None
@@ -395,12 +395,12 @@
             sum(weights) or 1.0
         )
 
-    def _uplink_need(self, now: int, rack: int, unheard: float) -> float:
+    def _uplink_need(self, now: int, rack: int, unheard: float, echo: float = 1.0) -> float:
         pipe = self.uplinks[rack]
         if pipe.use is not None:
-            return pipe.need(now, unheard)
+            return pipe.need(now, unheard, echo)
         return sum(
-            each.link.need(now, unheard)
+            each.link.need(now, unheard, echo)
             for each in self.servers.values()
             if each.rack == rack and each.entry.state is not ServerState.GONE
         )
@@ -628,8 +628,11 @@
         if not waiting:
             return
         unheard = self._mean_use(now)
-        racks = [self._uplink_need(now, rack, unheard) for rack in range(self.settings.racks)]
-        link_room = server.link.limit * self._warmth(now, server) * MARK - server.link.need(now, unheard)
+        echo = self.settings.instances  # the others do the same
+        racks = [self._uplink_need(now, rack, unheard, echo) for rack in range(self.settings.racks)]
+        link_room = server.link.limit * self._warmth(now, server) * MARK - server.link.need(
+            now, unheard, echo
+        )
         rack_room = self.uplinks[server.rack].limit * MARK - racks[server.rack]
         room = min(link_room, rack_room) / self.settings.instances
         for session in sorted(waiting, key=lambda e: (-e.worth, e.request)):
