--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -103,6 +103,7 @@
     up_since: int | None = None  # first set-up answered after that sign
     sent: deque[int] = field(default_factory=deque)
     shed_at: int = -(10**15)
+    found: int = 0  # sessions found playing there when this gateway started
 
 
 @dataclass(slots=True)
@@ -332,6 +333,7 @@
         server = self.servers.get(event.server)
         if server is not None:
             server.sessions[event.request] = session
+            server.found += 1
             self._charge(now, server, session, session.kb)
 
     def _viewer_gone(self, event: api.ViewerGone) -> None:
@@ -519,7 +521,10 @@
 
     def _warm_from(self, now: int, server: _Server) -> int:
         """Give the latest time at which the server may have started, as far as this gateway can tell."""
-        start = max(server.entry.started, self.started)
+        # Sessions found playing took their time to be set up: one that plays so many was not started just now.
+        streams = self._streams(server.entry.kind) or 1
+        known = server.found * self.settings.instances * self.settings.cold // streams
+        start = max(server.entry.started, self.started - known)
         if server.warned > server.entry.started:
             start = max(start, server.up_since if server.up_since is not None else now)
         return start
@@ -541,9 +546,11 @@
         s = self.settings
         while server.sent and server.sent[0] <= now - s.fall:
             server.sent.popleft()
-        if not s.cold or now - self._warm_from(now, server) >= s.cold:
+        age = now - self._warm_from(now, server)
+        if age >= s.cold:
             return True
-        budget = s.fall_multiple * self._streams(server.entry.kind) / s.cold * s.cold_from * s.fall
+        warmth = s.cold_from + (1 - s.cold_from) * max(0, age) / s.cold
+        budget = s.fall_multiple * self._streams(server.entry.kind) / s.cold * warmth * s.fall
         share = int(budget / s.instances)
         if share:
             return len(server.sent) < share
