--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -521,7 +521,7 @@
 
     def _warm_from(self, now: int, server: _Server) -> int:
         """Give the latest time at which the server may have started, as far as this gateway can tell."""
-        # Sessions found playing took their time to be set up: one that plays so many was not started just now.
+        # Sessions found playing took time to set up: a server that plays many was not started just now.
         streams = self._streams(server.entry.kind) or 1
         known = server.found * self.settings.instances * self.settings.cold // streams
         start = max(server.entry.started, self.started - known)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -73,7 +73,7 @@
 
 
 def within_budget(times, start, streams=30, gateways=2):
-    """Tell whether every window holds no more than these gateways' part of what the server stands at its end."""
+    """Tell whether no window holds more than these gateways' part of what the server stands at its end."""
     for first in times:
         warmth = 0.4 + 0.6 * min(1, max(0, first + 1_500_000 - start) / (12 * S))
         budget = 2.5 * streams / 12 * 1.5 * warmth
