--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -36,6 +36,7 @@
 NOTE_FADES = (
     12 * SECOND
 )  # µs; in that time a noted use turns into the fleet's average: a few times a note's period
+SETTLE_WAIT = 6 * SECOND  # µs after a cut before the rung is settled anew: later notes show what the cut did
 DEAD_BELOW = 0.1  # delivered share under which the server stands still: smaller rungs would not help
 DEMAND_MEMORY = 4 * SECOND  # µs; broken sessions count as demand so long: most viewers are back by then
 PRICE_AGE = SECOND // 4  # µs; the price of room is worked out anew so often
@@ -130,7 +131,8 @@
     playing: bool = False
     noted: bool = False
     over: bool = False  # its final answer is given or no longer owed
-    unsettled: bool = False  # its rung was not decided by admission here
+    unsettled: bool = False  # its rung was cut for want of room or not decided here
+    settle_after: int = 0
 
 
 class Controller:
@@ -258,6 +260,7 @@
             self._seat(session, 1)
         session.rung, session.kb = rung, self._rate(session, rung)
         session.server, session.ends = server.entry.server, now + session.length
+        session.unsettled, session.settle_after = rung < session.best, now + SETTLE_WAIT
         session.attempts += 1
         session.tried.append(session.server)
         server.sessions[session.request] = session
@@ -631,7 +634,11 @@
         where they play, in this gateway's part of the room, as all gateways hear the note at once.
         May hurt when many viewers are about to come: their room is taken.
         """
-        waiting = [e for e in server.sessions.values() if e.unsettled and e.playing and not e.over]
+        waiting = [
+            e
+            for e in server.sessions.values()
+            if e.unsettled and e.playing and not e.over and now >= e.settle_after
+        ]
         if not waiting:
             return
         unheard = self._mean_use(now)
@@ -680,6 +687,7 @@
                 break
             excess -= session.kb - self._rate(session, below)
             self._set_rung(now, session, below)
+            session.unsettled, session.settle_after = True, now + SETTLE_WAIT
             if session not in changed:
                 changed.append(session)
         self.actions += [api.SetRung(session.request, session.rung) for session in changed]
