--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -37,6 +37,12 @@
     12 * SECOND
 )  # µs; in that time a noted use turns into the fleet's average: a few times a note's period
 SETTLE_WAIT = 6 * SECOND  # µs after a cut before the rung is settled anew: later notes show what the cut did
+FULL_LINK = 0.9  # noted use under which a link is not what makes delivery short
+UPLINK_DOWN = 0.3  # part of a missing share by which an uplink's told rate is lowered: each server notes it
+UPLINK_UP = 0.01  # part by which it is raised at a note of a link while well used and never short
+UPLINK_WAIT = 5 * SECOND  # µs without a short note before it is raised: notes of all its servers come by then
+UPLINK_TRIED = 0.85  # part of it that must be asked to show that it gives more
+UPLINK_LEAST, UPLINK_MOST = 0.6, 1.4  # bounds of both, of what is told: beyond the spread of real racks
 DEAD_BELOW = 0.1  # delivered share under which the server stands still: smaller rungs would not help
 DEMAND_MEMORY = 4 * SECOND  # µs; broken sessions count as demand so long: most viewers are back by then
 PRICE_AGE = SECOND // 4  # µs; the price of room is worked out anew so often
@@ -45,12 +51,13 @@
 class _Pipe:
     """Slot account of a link or an uplink: its noted use, and what this gateway changed since then."""
 
-    __slots__ = ("at", "changes", "limit", "use")
+    __slots__ = ("at", "changes", "limit", "short_at", "use")
 
     def __init__(self, limit: float) -> None:
         self.limit = limit
         self.use: float | None = None
         self.at = -1
+        self.short_at = 0
         self.changes: deque[tuple[int, int, float]] = deque()
 
     def charge(self, now: int, ends: int, kb: float) -> None:
@@ -595,6 +602,10 @@
         seen = now if fresh else now - self.settings.note_age
         if event.kind is NoteKind.LINK:
             server.link.note(seen, event.value)
+            uplink = self.uplinks[server.rack]
+            if uplink.use is None and now - uplink.short_at > UPLINK_WAIT:
+                if self._uplink_need(now, server.rack, self._mean_use(now)) > uplink.limit * UPLINK_TRIED:
+                    uplink.limit = min(uplink.limit * (1 + UPLINK_UP), self.settings.uplink_kb * UPLINK_MOST)
             if session is not None and not self._has_uplink_notes():
                 session.noted = True
             self._settle(now, server)
@@ -668,6 +679,12 @@
         May hurt when the shortness passes by itself: the steps stay.
         """
         s = self.settings
+        uplink = self.uplinks[server.rack]
+        if DEAD_BELOW <= share and uplink.use is None and (server.link.use or 1.0) < FULL_LINK:
+            # Danger: uplinks differ from what is told, and where nothing reports them only a share that is
+            # short beside a link with room shows it. May hurt when the link's note is old.
+            uplink.short_at = now
+            uplink.limit = max(uplink.limit * (1 - UPLINK_DOWN * (1 - share)), s.uplink_kb * UPLINK_LEAST)
         if not DEAD_BELOW <= share < SHED_BELOW or now - server.shed_at < s.note_age + SHED_WAIT:
             return
         server.shed_at = now
