--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -427,24 +427,27 @@
         """
         if now - self.price_at >= PRICE_AGE:
             self.price_at = now
-            self.price = self._price(now, need)
+            self.price = self._price(now, session, need)
         rung = self._class(session).floor
         for upper, density in self._steps(session):
-            if upper > session.best:
-                break
             level, part = self.price
             if density < level or (density == level and self.random.random() >= part):
                 break
             rung = upper
         return rung
 
-    def _price(self, now: int, need: float) -> tuple[float, float]:
+    def _price(self, now: int, asker: _Session, need: float) -> tuple[float, float]:
         """Give the marginal step's worth for a kB and the part of such steps that still fits."""
         while self.broken and self.broken[0][0] < now - DEMAND_MEMORY:
             self.broken.popleft()
         mine = [each for each in self.sessions.values() if each.server is not None]
+        # The asker counts at the middle rung: a gateway just started has no session to tell its part by, and
+        # would hand top rungs to all who come to it in the middle of an overload.
         own = sum(each.kb for each in mine)
-        if own <= 0 or need <= 0:
+        if asker.server is None:
+            mine.append(asker)
+            own += self._rate(asker, min(asker.best, len(self.settings.rung_kb) // 2))
+        if need <= 0:
             return 0.0, 1.0
         room = 0.0
         for rack, uplink in enumerate(self.uplinks):
@@ -458,13 +461,9 @@
         left = own * room / need if heard else room / self.settings.instances
         steps: dict[float, float] = {}
         for each in [*mine, *(session for _, session in self.broken)]:
-            below = 0.0
-            floor = self._class(each).floor
-            left -= self._rate(each, floor)
-            below = self._rate(each, floor)
+            below = self._rate(each, self._class(each).floor)
+            left -= below
             for upper, density in self._steps(each):
-                if upper > each.best:
-                    break
                 kb = self._rate(each, upper)
                 steps[density] = steps.get(density, 0.0) + kb - below
                 below = kb
@@ -606,16 +605,11 @@
             if uplink.use is None and now - uplink.short_at > UPLINK_WAIT:
                 if self._uplink_need(now, server.rack, self._mean_use(now)) > uplink.limit * UPLINK_TRIED:
                     uplink.limit = min(uplink.limit * (1 + UPLINK_UP), self.settings.uplink_kb * UPLINK_MOST)
-            if session is not None and not self._has_uplink_notes():
-                session.noted = True
             self._settle(now, server)
         else:
             self.uplinks[server.rack].note(seen, event.value)
-            if session is not None:
-                session.noted = True
-
-    def _has_uplink_notes(self) -> bool:
-        return "x1" in self.settings.load_fields
+        if session is not None and (event.kind is NoteKind.UPLINK or "x1" not in self.settings.load_fields):
+            session.noted = True  # its set-up's own notes are told, later ones are late
 
     def _load(self, now: int, server_id: bytes, load: Iterable[float]) -> None:
         server = self.servers.get(server_id)
