Servers with an unanswered set-up or dead delivery last; paid sessions avoid strikes; module trimmed

Also meant for slow or overloaded set-ups; may hurt where set-ups are slow everywhere, when all holders rank alike.

--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -12,7 +12,7 @@
 import random
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from mintmast import interface as api
 from mintmast.interface import Effect, ListKind, NoteKind, Outcome, ServerState
@@ -22,11 +22,14 @@
 DEFAULT_LENGTH = 120 * SECOND  # µs; charge of a session with no hint: over the usual length, as ends are told
 MARK = 0.97  # part of a link that the slot test may fill: room for rates above the ladder and late notes
 FILL = 0.9  # part of the room that the price of room fills: what lies up to the mark is kept for newcomers
+NO_LIMIT = 1e12  # kB a second; a link or uplink of which nothing is told
 MAX_USE = 20.0  # noted use above this is taken for a broken report
 OWN_ZONE = 0.06  # room that a holder in the own zone is thought to have more: crossings are priced
 RETRY_ADVICE = SECOND  # µs; after a refusal: about one session of a server ends in that time
 MIN_LEFT = 60_000  # µs; with less time left no set-up can answer, so none is sent
-TRY_TIME = SECOND  # µs; a repeatable set-up unanswered for so long is tried elsewhere: several usual set-ups
+UNANSWERED = (
+    SECOND * 2 // 5
+)  # µs; a server with a set-up out for so long may stand still: several usual set-ups
 SUSPECT = 2 * SECOND  # µs; a server is passed over so long after a failed set-up, doubled with each in a row
 SUSPECT_MAX = 16 * SECOND  # µs; longest such time: faults last tens of seconds and must be noticed as over
 FULL_PAUSE = SECOND  # µs; a server that said it is full is passed over so long: one slot
@@ -139,7 +142,7 @@
     noted: bool = False
     over: bool = False  # its final answer is given or no longer owed
     unsettled: bool = False  # its rung was cut for want of room or not decided here
-    settle_after: int = 0
+    since: int = -(10**15)  # when its rung was last decided
 
 
 class Controller:
@@ -150,7 +153,7 @@
         self.random = random.Random(seed)
         self.servers: dict[bytes, _Server] = {}
         self.sessions: dict[int, _Session] = {}
-        self.uplinks = [_Pipe(settings.uplink_kb or math.inf) for _ in range(settings.racks)]
+        self.uplinks = [_Pipe(settings.uplink_kb or NO_LIMIT) for _ in range(settings.racks)]
         self.seats: dict[tuple[int, int], int] = {}
         self.resends: deque[int] = deque()
         self.taken: deque[int] = deque()
@@ -197,7 +200,7 @@
             listed = {entry.server for entry in event.entries}
             for server in self.servers.values():
                 if server.entry.server not in listed:
-                    server.entry = _gone(server.entry)
+                    server.entry = replace(server.entry, state=ServerState.GONE)
         for entry in event.entries:
             server = self.servers.get(entry.server)
             if server is None:
@@ -220,10 +223,8 @@
         streams = [self._streams(each.entry.kind) for each in ready]
         mean = sum(streams) / len(streams)
         for server, count in zip(ready, streams, strict=True):
-            unit = s.weight_kb or (s.links_kb / len(ready)) or math.inf
-            server.link.limit = unit * (
-                server.entry.weight if s.weights_told else count / mean if mean else 1.0
-            )
+            size = server.entry.weight if s.weights_told else count / mean if mean else 1.0
+            server.link.limit = (s.weight_kb or s.links_kb / len(ready) or NO_LIMIT) * max(size, 0.01)
 
     def _streams(self, kind: int) -> int:
         told = self.settings.kind_streams
@@ -267,7 +268,7 @@
             self._seat(session, 1)
         session.rung, session.kb = rung, self._rate(session, rung)
         session.server, session.ends = server.entry.server, now + session.length
-        session.unsettled, session.settle_after = rung < session.best, now + SETTLE_WAIT
+        session.unsettled, session.since = rung < session.best, now
         session.attempts += 1
         session.tried.append(session.server)
         server.sessions[session.request] = session
@@ -275,7 +276,7 @@
         self._charge(now, server, session, session.kb)
         timeout = 0  # a paid set-up is not tried again, so it gets all the time there is
         if self._class(session).effect is Effect.FREE:
-            timeout = min(session.deadline, now + TRY_TIME)
+            timeout = min(session.deadline, now + self._class(session).aim // 2)
         self.actions.append(api.SetUp(session.request, session.server, timeout))
 
     def _end(self, now: int, session: _Session) -> None:
@@ -312,9 +313,8 @@
             if session.playing and event.outcome is Outcome.RESET:
                 self.broken.append((now, session))
             return
-        if event.outcome is Outcome.NOT_SENT or (
-            session.may_have_run and self._class(session).effect is not Effect.FREE
-        ):
+        bound = session.may_have_run and self._class(session).effect is not Effect.FREE
+        if bound or event.outcome is Outcome.NOT_SENT:
             self._end(now, session)
         else:
             self._try(now, session)
@@ -367,19 +367,14 @@
         racks = [self._uplink_need(now, rack, unheard) for rack in range(self.settings.racks)]
         ordered = []
         for server in holders:
-            link_need = server.link.need(now, unheard)
-            limit = server.link.limit * self._warmth(now, server)
-            uplink = self.uplinks[server.rack].limit
-            link_room = limit * MARK - link_need
-            rack_room = uplink * MARK - racks[server.rack]
-            order = link_room / limit + (rack_room / uplink if uplink < math.inf else 1.0)
+            link_room, rack_room = self._rooms(now, server, racks, unheard)
+            order = link_room / server.link.limit + rack_room / self.uplinks[server.rack].limit
             if server.entry.zone == self.settings.zone:
                 order += OWN_ZONE
-            key = (now < server.suspect_until, -order, self.random.random())
+            key = (self._suspect(now, server, session), -order, self.random.random())
             ordered.append((key, server, min(link_room, rack_room)))
         ordered.sort(key=lambda each: each[0])
-        need = sum(racks)
-        top = self._worth_its_room(now, session, need)
+        top = self._worth_its_room(now, session, sum(racks))
         for rung in range(top, service.floor - 1, -1):
             kb = self._rate(session, rung)
             for _, server, room in ordered:
@@ -387,6 +382,13 @@
                     return server, rung
         return None
 
+    def _rooms(
+        self, now: int, server: _Server, racks: list[float], unheard: float, echo: float = 1.0
+    ) -> tuple[float, float]:
+        """Give what the fullest slot leaves up to the mark on the server's link and on its rack's uplink."""
+        link = server.link.limit * self._warmth(now, server) * MARK - server.link.need(now, unheard, echo)
+        return link, self.uplinks[server.rack].limit * MARK - racks[server.rack]
+
     def _holders(self, now: int, session: _Session) -> list[_Server]:
         cells = self.settings.cells
         found = []
@@ -403,9 +405,8 @@
     def _mean_use(self, now: int) -> float:
         heard = [each.link for each in self.servers.values() if each.link.use is not None]
         weights = [pipe.fresh(now) + 0.01 for pipe in heard]
-        return sum(pipe.use * weight for pipe, weight in zip(heard, weights, strict=True)) / (
-            sum(weights) or 1.0
-        )
+        total = sum(pipe.use * weight for pipe, weight in zip(heard, weights, strict=True))
+        return total / (sum(weights) or 1.0)
 
     def _uplink_need(self, now: int, rack: int, unheard: float, echo: float = 1.0) -> float:
         pipe = self.uplinks[rack]
@@ -582,6 +583,15 @@
             server.suspect_until = now + min(SUSPECT_MAX, SUSPECT << min(server.strikes, 10))
             server.strikes += 1
 
+    def _suspect(self, now: int, server: _Server, session: _Session) -> bool:
+        """Tell whether others are to be tried first: after a failure, or while a set-up stays unanswered.
+
+        Paid sessions, lost when a set-up may have run, are not the ones to find out whether it is well again.
+        """
+        if now < server.suspect_until or (server.strikes and self._class(session).effect is not Effect.FREE):
+            return True
+        return any(not e.playing and now - e.since > UNANSWERED for e in server.sessions.values())
+
     # Notes
 
     def _note(self, now: int, event: api.Note) -> None:
@@ -615,13 +625,10 @@
         server = self.servers.get(server_id)
         if server is None:
             return
+        pipes = {"x0": server.link, "x1": self.uplinks[server.rack]}
         for name, value in zip(self.settings.load_fields, load, strict=False):
-            if not 0 <= value <= MAX_USE:
-                continue
-            if name == "x0":
-                server.link.note(now - self.settings.note_age, value)
-            elif name == "x1":
-                self.uplinks[server.rack].note(now - self.settings.note_age, value)
+            if name in pipes and 0 <= value <= MAX_USE:
+                pipes[name].note(now - self.settings.note_age, value)
 
     def _set_rung(self, now: int, session: _Session, rung: int) -> None:
         """Book a change of a session's rung."""
@@ -639,21 +646,14 @@
         where they play, in this gateway's part of the room, as all gateways hear the note at once.
         May hurt when many viewers are about to come: their room is taken.
         """
-        waiting = [
-            e
-            for e in server.sessions.values()
-            if e.unsettled and e.playing and not e.over and now >= e.settle_after
-        ]
+        waiting = [e for e in server.sessions.values() if e.unsettled and e.playing and not e.over]
+        waiting = [e for e in waiting if now - e.since >= SETTLE_WAIT]
         if not waiting:
             return
         unheard = self._mean_use(now)
         echo = self.settings.instances  # the others do the same
         racks = [self._uplink_need(now, rack, unheard, echo) for rack in range(self.settings.racks)]
-        link_room = server.link.limit * self._warmth(now, server) * MARK - server.link.need(
-            now, unheard, echo
-        )
-        rack_room = self.uplinks[server.rack].limit * MARK - racks[server.rack]
-        room = min(link_room, rack_room) / self.settings.instances
+        room = min(self._rooms(now, server, racks, unheard, echo)) / echo
         for session in sorted(waiting, key=lambda e: (-e.worth, e.request)):
             for rung in range(self._worth_its_room(now, session, sum(racks)), session.rung, -1):
                 more = self._rate(session, rung) - session.kb
@@ -673,6 +673,8 @@
         May hurt when the shortness passes by itself: the steps stay.
         """
         s = self.settings
+        if share < DEAD_BELOW:  # its sessions get nothing: as good as a failed set-up
+            server.strikes, server.suspect_until = max(1, server.strikes), now + SUSPECT
         uplink = self.uplinks[server.rack]
         if DEAD_BELOW <= share and uplink.use is None and (server.link.use or 1.0) < FULL_LINK:
             # Danger: uplinks differ from what is told, and where nothing reports them only a share that is
@@ -698,13 +700,7 @@
                 break
             excess -= session.kb - self._rate(session, below)
             self._set_rung(now, session, below)
-            session.unsettled, session.settle_after = True, now + SETTLE_WAIT
+            session.unsettled, session.since = True, now
             if session not in changed:
                 changed.append(session)
         self.actions += [api.SetRung(session.request, session.rung) for session in changed]
-
-
-def _gone(entry: api.ListEntry) -> api.ListEntry:
-    return api.ListEntry(
-        entry.server, ServerState.GONE, entry.started, entry.cell, entry.zone, entry.kind, entry.weight
-    )
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -130,3 +130,28 @@
     (_, set_up) = gateway.handle(T0, request(1))
     gateway.handle(T0, api.Playing(1, 0, set_up.server, 1000))
     assert not gateway.handle(T0 + S, api.Note(1, BOX[0], api.NoteKind.DELIVERED, 0.0))
+
+
+def test_an_uplink_below_what_is_told_is_learned_from_short_delivery():
+    gateway = fleet(1)
+    use(gateway, T0, BOX[0], 0.5)
+    told = gateway.uplinks[0].limit
+    gateway.handle(T0 + S, api.Note(9000, BOX[0], api.NoteKind.DELIVERED, 0.8))
+    lowered = gateway.uplinks[0].limit
+    assert 0.6 * told <= lowered < told
+    later = T0 + S + decide.UPLINK_WAIT + 1
+    use(gateway, later, BOX[0], 4.0)
+    assert gateway.uplinks[0].limit > lowered
+
+
+def test_a_cut_session_is_settled_when_room_returns():
+    gateway = fleet(1)
+    use(gateway, T0, BOX[0], 0.92)
+    actions = gateway.handle(T0, request(1))
+    gateway.handle(T0, api.Playing(1, 0, BOX[0], 1000))
+    cut = rung(actions)
+    assert cut < 3
+    gateway.handle(T0 + S, api.Note(1, BOX[0], api.NoteKind.LINK, 0.9))
+    later = T0 + decide.SETTLE_WAIT + S
+    actions = gateway.handle(later, api.Note(1, BOX[0], api.NoteKind.LINK, 0.1))
+    assert [a.rung > cut for a in actions if isinstance(a, api.SetRung) and a.request == 1] == [True]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -188,3 +188,30 @@
         (set_up,) = sent(gateway.handle(T0, request(ref)))
         gateway.handle(T0, end(ref, set_up.server, Outcome.ERROR))
     assert sent(gateway.handle(T0, request(3)))
+
+
+def test_a_server_with_an_unanswered_set_up_is_tried_last():
+    gateway = fleet(2)
+    (first,) = sent(gateway.handle(T0, request(1)))
+    later = [sent(gateway.handle(T0 + S // 2, request(n, best=0)))[0].server for n in range(2, 6)]
+    assert first.server not in later
+
+
+def test_paid_sessions_do_not_find_out_whether_a_server_is_well_again():
+    gateway = fleet(2)
+    (first,) = sent(gateway.handle(T0, request(1)))
+    (second,) = sent(gateway.handle(T0, end(1, first.server, Outcome.ERROR)))
+    gateway.handle(T0, api.Playing(1, 1, second.server, 1000))
+    later = T0 + 10 * S
+    for n in range(2, 5):
+        (set_up,) = sent(gateway.handle(later, request(n, service=0, title=n, best=0)))
+        gateway.handle(later, api.Playing(n, 0, set_up.server, 1000))
+        assert set_up.server != first.server
+
+
+def test_dead_delivery_counts_as_a_failure():
+    gateway = fleet(2)
+    (first,) = sent(gateway.handle(T0, request(1)))
+    gateway.handle(T0, api.Playing(1, 0, first.server, 1000))
+    gateway.handle(T0 + S, api.Note(1, first.server, api.NoteKind.DELIVERED, 0.0))
+    assert sent(gateway.handle(T0 + S, request(2, best=0)))[0].server != first.server
