--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -81,9 +81,9 @@
         Every charge starts at once and only leaves later, so the fullest slot is the present one.
         """
         slot = now // SLOT
-        if self.changes and self.changes[0][1] < slot:
-            self.changes = deque(each for each in self.changes if each[1] >= slot)
-        return sum(kb for _, last, kb in self.changes)
+        while self.changes and self.changes[0][1] < slot:
+            self.changes.popleft()
+        return sum(kb for _, last, kb in self.changes if last >= slot)
 
     def need(self, now: int, unheard: float, echo: float = 1.0) -> float:
         """Give the rate asked in the fullest slot; `unheard` is the use taken where none was noted.
@@ -337,7 +337,7 @@
         session.server, session.attempts, session.playing, session.may_have_run = event.server, 1, True, True
         session.ends = now + (event.length_hint or DEFAULT_LENGTH)
         session.rung, session.kb = service.floor, self._rate(session, service.floor)
-        session.unsettled = True
+        session.unsettled = session.noted = True
         self.sessions[event.request] = session
         self._seat(session, 1)
         server = self.servers.get(event.server)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -83,5 +83,5 @@
 
 def use(controller, now, server, value, ref=9000):
     """Tell a server's noted use through a session found playing there."""
-    controller.handle(now, api.SessionOpen(ref, 1, 0, 77, 0, server, 500 * S))
+    controller.handle(now - 2 * S, api.SessionOpen(ref, 1, 0, 77, 0, server, 500 * S))
     controller.handle(now, api.Note(ref, server, api.NoteKind.LINK, value))
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -49,6 +49,7 @@
         use(gateway, T0, BOX[n], load, 9000 + n)
     assert sent(gateway.handle(T0, request(1)))[0].server == BOX[1]
     assert sent(gateway.handle(T0, request(2, home=2, copies=2)))[0].server == BOX[2]
+    assert sent(gateway.handle(T0, request(3, home=3, copies=1, best=0)))[0].server == BOX[3]
 
 
 def test_ties_are_drawn_from_the_seed():
@@ -84,6 +85,8 @@
     gateway.handle(T0, request(1, hint=10 * S))
     link = gateway.servers[BOX[0]].link
     assert link.changed(T0 + 10 * S) == 2000
+    gateway.handle(T0, request(2, hint=5 * S, best=0))
+    assert link.changed(T0 + 6 * S) == 2000  # the later, shorter one has left
     assert link.changed(T0 + 11 * S) == 0
 
 
@@ -101,19 +104,29 @@
     gateway.handle(T0, api.Note(1, BOX[0], api.NoteKind.RUNG, 0.0))
     actions = gateway.handle(T0 + S, api.Note(1, BOX[0], api.NoteKind.LINK, 0.1))
     assert rung(actions) == 3
-    assert not gateway.handle(T0 + 4 * S, api.Note(1, BOX[0], api.NoteKind.LINK, 0.1))
+
+
+def test_a_session_is_settled_only_once():
+    gateway = fleet(1, instances=1)
+    gateway.handle(T0, api.SessionOpen(1, 1, 0, 5, 3, BOX[0], 90 * S))
+    gateway.handle(T0, api.Note(1, BOX[0], api.NoteKind.RUNG, 0.0))
+    gateway.price_at = T0 + S  # nothing has a price yet; the slot test alone cuts
+    assert rung(gateway.handle(T0 + S, api.Note(1, BOX[0], api.NoteKind.LINK, 0.92))) == 1
+    assert not gateway.handle(T0 + 20 * S, api.Note(1, BOX[0], api.NoteKind.LINK, 0.1))
 
 
 @pytest.mark.parametrize("value", [math.nan, -1.0, math.inf, 1e30])
 def test_senseless_load_values_change_nothing(value):
     gateway = fleet(1)
     use(gateway, T0, BOX[0], 0.2)
-    gateway.handle(T0, api.Note(9000, BOX[0], api.NoteKind.LINK, value))
-    gateway.handle(T0, api.Note(9000, BOX[0], api.NoteKind.RUNG, value))
-    gateway.handle(T0, api.Note(9000, BOX[0], api.NoteKind.DELIVERED, value))
-    gateway.handle(T0, end(77, BOX[0], api.Outcome.SERVED, complete=True, load=(value, value)))
-    assert gateway.servers[BOX[0]].link.use == 0.2
-    assert sent(gateway.handle(T0, request(1)))
+    link = gateway.servers[BOX[0]].link
+    gateway.handle(T0 + S, api.Note(9000, BOX[0], api.NoteKind.LINK, value))
+    assert link.use == 0.2
+    gateway.handle(T0 + S, api.Note(9000, BOX[0], api.NoteKind.RUNG, value))
+    gateway.handle(T0 + S, api.Note(9000, BOX[0], api.NoteKind.DELIVERED, value))
+    gateway.handle(T0 + S, end(77, BOX[0], api.Outcome.SERVED, complete=True, load=(value, value)))
+    assert link.use == 0.2
+    assert sent(gateway.handle(T0 + S, request(1)))
 
 
 def test_short_delivery_steps_rungs_down_once():
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,7 +1,7 @@
 """The six rules, each with a case that would break it."""
 
 import pytest
-from helpers import T0, S, box, end, fleet, kinds, request, sent
+from helpers import T0, S, box, end, fleet, kinds, request, sent, use
 
 from mintmast import Controller
 from mintmast import interface as api
@@ -193,6 +193,9 @@
 def test_a_server_with_an_unanswered_set_up_is_tried_last():
     gateway = fleet(2)
     (first,) = sent(gateway.handle(T0, request(1)))
+    (other,) = [each for each in BOX[:2] if each != first.server]
+    use(gateway, T0, first.server, 0.1)
+    use(gateway, T0, other, 0.5, 9001)  # the silent one looks emptier
     later = [sent(gateway.handle(T0 + S // 2, request(n, best=0)))[0].server for n in range(2, 6)]
     assert first.server not in later
 
@@ -213,5 +216,8 @@
     gateway = fleet(2)
     (first,) = sent(gateway.handle(T0, request(1)))
     gateway.handle(T0, api.Playing(1, 0, first.server, 1000))
+    (other,) = [each for each in BOX[:2] if each != first.server]
+    use(gateway, T0, first.server, 0.1)
+    use(gateway, T0, other, 0.5, 9001)  # the one that stands still looks emptier
     gateway.handle(T0 + S, api.Note(1, first.server, api.NoteKind.DELIVERED, 0.0))
     assert sent(gateway.handle(T0 + S, request(2, best=0)))[0].server != first.server
