--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -409,11 +409,12 @@
         return total / (sum(weights) or 1.0)
 
     def _uplink_need(self, now: int, rack: int, unheard: float, echo: float = 1.0) -> float:
+        """Give what is asked of an uplink; a link asked for several times its rate still carries that rate at most."""
         pipe = self.uplinks[rack]
         if pipe.use is not None:
             return pipe.need(now, unheard, echo)
         return sum(
-            each.link.need(now, unheard, echo)
+            min(each.link.need(now, unheard, echo), each.link.limit)
             for each in self.servers.values()
             if each.rack == rack and each.entry.state is not ServerState.GONE
         )
