--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -114,6 +114,7 @@
     up_since: int | None = None  # first set-up answered after that sign
     sent: deque[int] = field(default_factory=deque)
     shed_at: int = -(10**15)
+    short_at: int = -(10**15)
     found: int = 0  # sessions found playing there when this gateway started
 
 
@@ -405,11 +406,11 @@
     def _mean_use(self, now: int) -> float:
         heard = [each.link for each in self.servers.values() if each.link.use is not None]
         weights = [pipe.fresh(now) + 0.01 for pipe in heard]
-        total = sum(pipe.use * weight for pipe, weight in zip(heard, weights, strict=True))
+        total = sum(min(1.0, pipe.use) * weight for pipe, weight in zip(heard, weights, strict=True))
         return total / (sum(weights) or 1.0)
 
     def _uplink_need(self, now: int, rack: int, unheard: float, echo: float = 1.0) -> float:
-        """Give what is asked of an uplink; a link asked for several times its rate still carries that rate at most."""
+        """Give what is asked of an uplink; a link asked for several times its rate still carries no more."""
         pipe = self.uplinks[rack]
         if pipe.use is not None:
             return pipe.need(now, unheard, echo)
@@ -677,7 +678,13 @@
         if share < DEAD_BELOW:  # its sessions get nothing: as good as a failed set-up
             server.strikes, server.suspect_until = max(1, server.strikes), now + SUSPECT
         uplink = self.uplinks[server.rack]
-        if DEAD_BELOW <= share and uplink.use is None and (server.link.use or 1.0) < FULL_LINK:
+        others = [
+            e
+            for e in self.servers.values()
+            if e is not server and e.rack == server.rack and now - e.short_at < SHED_WAIT
+        ]
+        server.short_at = now
+        if others and DEAD_BELOW <= share and uplink.use is None and (server.link.use or 1.0) < FULL_LINK:
             # Danger: uplinks differ from what is told, and where nothing reports them only a share that is
             # short beside a link with room shows it. May hurt when the link's note is old.
             uplink.short_at = now
