--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -24,7 +24,9 @@
 FILL = 0.9  # part of the room that the price of room fills: what lies up to the mark is kept for newcomers
 NO_LIMIT = 1e12  # kB a second; a link or uplink of which nothing is told
 MAX_USE = 20.0  # noted use above this is taken for a broken report
-OWN_ZONE = 0.06  # room that a holder in the own zone is thought to have more: crossings are priced
+ZONE_ROOM = (
+    10.0  # room that a holder in the own zone seems to have more, per told price of crossing: 0.2 at 0.02
+)
 RETRY_ADVICE = SECOND  # µs; after a refusal: about one session of a server ends in that time
 MIN_LEFT = 60_000  # µs; with less time left no set-up can answer, so none is sent
 UNANSWERED = (
@@ -371,7 +373,7 @@
             link_room, rack_room = self._rooms(now, server, racks, unheard)
             order = link_room / server.link.limit + rack_room / self.uplinks[server.rack].limit
             if server.entry.zone == self.settings.zone:
-                order += OWN_ZONE
+                order += ZONE_ROOM * self.settings.cross_zone_cost
             key = (self._suspect(now, server, session), -order, self.random.random())
             ordered.append((key, server, min(link_room, rack_room)))
         ordered.sort(key=lambda each: each[0])
@@ -641,11 +643,11 @@
         session.rung, session.kb = rung, kb
 
     def _settle(self, now: int, server: _Server) -> None:
-        """Bring sessions whose rung was never decided here to the rung that admission would give them.
+        """Bring sessions cut for want of room, or never decided here, to the rung that admission would give now.
 
-        Danger: sessions found playing at the start sit on the rung that somebody else left them on, and stay
-        there while links are idle. Once each, when the server's use is noted, they go through the slot test
-        where they play, in this gateway's part of the room, as all gateways hear the note at once.
+        Danger: sessions found playing at the start, and those cut by a trouble that has passed, stay on low
+        rungs while links are idle. Once for each cut, when the server's use is noted, they go through the slot
+        test where they play, in this gateway's part of the room, as all gateways hear the note at once.
         May hurt when many viewers are about to come: their room is taken.
         """
         waiting = [e for e in server.sessions.values() if e.unsettled and e.playing and not e.over]
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,6 +1,7 @@
 """The ordinary path: slot test, holder order, rungs by the price of room, sessions found open."""
 
 import math
+from dataclasses import replace
 
 import pytest
 from helpers import T0, S, box, end, fleet, kinds, request, sent, use
@@ -181,3 +182,13 @@
     later = T0 + decide.SETTLE_WAIT + S
     actions = gateway.handle(later, api.Note(1, BOX[0], api.NoteKind.LINK, 0.1))
     assert [a.rung > cut for a in actions if isinstance(a, api.SetRung) and a.request == 1] == [True]
+
+
+def test_own_zone_first_only_where_crossing_is_priced():
+    away = replace(box(0), zone=1)
+    for price, expected in ((0.02, BOX[1]), (0.0, BOX[0])):
+        gateway = fleet(2, cross_zone_cost=price)
+        gateway.handle(T0, api.ServerList(api.ListKind.DELTA, 2, (away,)))
+        use(gateway, T0, BOX[0], 0.1)
+        use(gateway, T0, BOX[1], 0.2, 9001)
+        assert sent(gateway.handle(T0, request(1, best=0)))[0].server == expected
