--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -643,11 +643,11 @@
         session.rung, session.kb = rung, kb
 
     def _settle(self, now: int, server: _Server) -> None:
-        """Bring sessions cut for want of room, or never decided here, to the rung that admission would give now.
+        """Bring sessions cut for want of room, or found playing, to the rung that admission would give now.
 
         Danger: sessions found playing at the start, and those cut by a trouble that has passed, stay on low
-        rungs while links are idle. Once for each cut, when the server's use is noted, they go through the slot
-        test where they play, in this gateway's part of the room, as all gateways hear the note at once.
+        rungs while links are idle. Once for each cut, when the server's use is noted, they go through the
+        slot test where they play, in this gateway's part of the room, as all hear the note at once.
         May hurt when many viewers are about to come: their room is taken.
         """
         waiting = [e for e in server.sessions.values() if e.unsettled and e.playing and not e.over]
