--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -23,6 +23,7 @@
 MARK = 0.97  # part of a link that the slot test may fill: room for rates above the ladder and late notes
 FILL = 0.9  # part of the room that the price of room fills: what lies up to the mark is kept for newcomers
 NO_LIMIT = 1e12  # kB a second; a link or uplink of which nothing is told
+MAX_SIZE = 1000.0  # sizes told beyond this or under its inverse are taken for broken
 MAX_USE = 20.0  # noted use above this is taken for a broken report
 ZONE_ROOM = (
     10.0  # room that a holder in the own zone seems to have more, per told price of crossing: 0.2 at 0.02
@@ -227,7 +228,9 @@
         mean = sum(streams) / len(streams)
         for server, count in zip(ready, streams, strict=True):
             size = server.entry.weight if s.weights_told else count / mean if mean else 1.0
-            server.link.limit = (s.weight_kb or s.links_kb / len(ready) or NO_LIMIT) * max(size, 0.01)
+            server.link.limit = (s.weight_kb or s.links_kb / len(ready) or NO_LIMIT) * min(
+                MAX_SIZE, max(1 / MAX_SIZE, size)
+            )
 
     def _streams(self, kind: int) -> int:
         told = self.settings.kind_streams
--- a/mintmast/simhost.py
+++ b/mintmast/simhost.py
@@ -7,7 +7,7 @@
 
 from mintmast import wire
 from mintmast.decide import Controller
-from mintmast.interface import Started
+from mintmast.interface import SessionOpen, SessionRequest, Started
 
 
 def _read(source: BinaryIO, size: int) -> bytes:
@@ -49,6 +49,11 @@
                 raise wire.WireError(f"event for instance {instance}, which is not running")
             if event is None:
                 continue
+            if isinstance(event, SessionRequest | SessionOpen):
+                if event.service >= len(controller.settings.classes):
+                    raise wire.WireError(
+                        f"request {event.request} is of class {event.service}, not in the settings"
+                    )
             for action in controller.handle(now, event):
                 records.append(wire.encode_action(instance, action))
         sink.write(wire.encode_reply(records))
--- a/mintmast/wire.py
+++ b/mintmast/wire.py
@@ -329,6 +329,8 @@
         )
         for place, each in enumerate(services)
     )
+    if not classes or not all(0 <= each.floor < len(ladder) and each.scale > 0 for each in classes):
+        raise ValueError("no class, a floor off the ladder, or a scale not above 0")
     span = int(rules.get("ratioSpan", 0))
     budget = (
         api.AttemptBudget(span, _number(rules.get("extraFree", 0)), _number(rules.get("resendRatio", 0)))
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -192,3 +192,11 @@
         use(gateway, T0, BOX[0], 0.1)
         use(gateway, T0, BOX[1], 0.2, 9001)
         assert sent(gateway.handle(T0, request(1, best=0)))[0].server == expected
+
+
+@pytest.mark.parametrize("weight", [math.nan, math.inf, -3.0, 0.0])
+def test_senseless_weights_do_not_raise(weight):
+    gateway = fleet(2, weights_told=True)
+    gateway.handle(T0, api.ServerList(api.ListKind.DELTA, 2, (replace(box(0), weight=weight),)))
+    assert math.isfinite(gateway.servers[BOX[0]].link.limit) and gateway.servers[BOX[0]].link.limit > 0
+    assert sent(gateway.handle(T0, request(1)))
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -185,3 +185,17 @@
     body = raw("0438 00000003 0e6f2b19")
     done = adapter(struct.pack(">IQ", 12 + len(body), 5) + body)
     assert done.returncode == 2 and done.stderr.count(b"\n") == 1
+
+
+def test_adapter_tells_of_a_class_that_is_not_in_the_settings():
+    text = json.dumps(SETTINGS).encode()
+    body = struct.pack(">HIQI", 1010, 3, 9, len(text)) + text + raw(EVENTS[0][0])[:-1] + b"\x07"
+    done = adapter(struct.pack(">IQ", 12 + len(body), 5) + body)
+    assert done.returncode == 2 and done.stderr.count(b"\n") == 1 and b"class 7" in done.stderr
+
+
+@pytest.mark.parametrize("family", [{"lowestRung": [5]}, {"scaleByClass": [0]}, {"levelKb": []}])
+def test_settings_that_make_no_sense(family):
+    told = {**SETTINGS, "familyInfo": {**SETTINGS["familyInfo"], **family}}
+    with pytest.raises(wire.WireError):
+        wire.parse_settings(json.dumps(told).encode())
