--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -650,7 +650,8 @@
 
         Danger: sessions found playing at the start, and those cut by a trouble that has passed, stay on low
         rungs while links are idle. Once for each cut, when the server's use is noted, they go through the
-        slot test where they play, in this gateway's part of the room, as all hear the note at once.
+        slot test where they play. All gateways hear the note at once, so each lets its sessions grow by the
+        factor that would just fill link and uplink if all did, and takes steps in between by lot.
         May hurt when many viewers are about to come: their room is taken.
         """
         waiting = [e for e in server.sessions.values() if e.unsettled and e.playing and not e.over]
@@ -658,14 +659,15 @@
         if not waiting:
             return
         unheard = self._mean_use(now)
-        echo = self.settings.instances  # the others do the same
-        racks = [self._uplink_need(now, rack, unheard, echo) for rack in range(self.settings.racks)]
-        room = min(self._rooms(now, server, racks, unheard, echo)) / echo
+        racks = [self._uplink_need(now, rack, unheard) for rack in range(self.settings.racks)]
+        uplink = self.uplinks[server.rack]
+        link_growth = server.link.limit * self._warmth(now, server) / max(1.0, server.link.need(now, unheard))
+        growth = MARK * min(link_growth, uplink.limit / max(1.0, racks[server.rack]))
         for session in sorted(waiting, key=lambda e: (-e.worth, e.request)):
+            target = session.kb * growth
             for rung in range(self._worth_its_room(now, session, sum(racks)), session.rung, -1):
-                more = self._rate(session, rung) - session.kb
-                if more <= room:
-                    room -= more
+                below, kb = self._rate(session, rung - 1), self._rate(session, rung)
+                if (target - below) / (kb - below) > self.random.random():
                     session.unsettled = False
                     self._set_rung(now, session, rung)
                     self.actions.append(api.SetRung(session.request, rung))
