--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -118,7 +118,6 @@
     sent: deque[int] = field(default_factory=deque)
     shed_at: int = -(10**15)
     short_at: int = -(10**15)
-    found: int = 0  # sessions found playing there when this gateway started
 
 
 @dataclass(slots=True)
@@ -163,6 +162,7 @@
         self.taken: deque[int] = deque()
         self.broken: deque[tuple[int, _Session]] = deque()
         self.started = 0
+        self.handed_over = False  # sessions were playing when this gateway started
         self.price = (0.0, 1.0)  # worth for a kB of the marginal step, and the part of it that fits
         self.price_at = -PRICE_AGE
         self.actions: list[api.Action] = []
@@ -345,11 +345,11 @@
         session.rung, session.kb = service.floor, self._rate(session, service.floor)
         session.unsettled = session.noted = True
         self.sessions[event.request] = session
+        self.handed_over = True
         self._seat(session, 1)
         server = self.servers.get(event.server)
         if server is not None:
             server.sessions[event.request] = session
-            server.found += 1
             self._charge(now, server, session, session.kb)
 
     def _viewer_gone(self, event: api.ViewerGone) -> None:
@@ -538,10 +538,9 @@
 
     def _warm_from(self, now: int, server: _Server) -> int:
         """Give the latest time at which the server may have started, as far as this gateway can tell."""
-        # Sessions found playing took time to set up: a server that plays many was not started just now.
-        streams = self._streams(server.entry.kind) or 1
-        known = server.found * self.settings.instances * self.settings.cold // streams
-        start = max(server.entry.started, self.started - known)
+        # Sessions handed over when this gateway started show that it took over from another as planned, not
+        # after a crash: then its list is as good as its predecessor's, and says itself who is young.
+        start = server.entry.started if self.handed_over else max(server.entry.started, self.started)
         if server.warned > server.entry.started:
             start = max(start, server.up_since if server.up_since is not None else now)
         return start
