--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -162,6 +162,7 @@
         self.taken: deque[int] = deque()
         self.broken: deque[tuple[int, _Session]] = deque()
         self.started = 0
+        self.mean_use = 0.5  # the estimate made last
         self.handed_over = False  # sessions were playing when this gateway started
         self.price = (0.0, 1.0)  # worth for a kB of the marginal step, and the part of it that fits
         self.price_at = -PRICE_AGE
@@ -409,10 +410,21 @@
         return found
 
     def _mean_use(self, now: int) -> float:
+        """Estimate the fleet's mean use from the servers heard of.
+
+        Danger: with a handful of sessions a gateway hears most of servers that carry much, and would take
+        all others for as full. Each note is weighed by the inverse of the chance to be heard of at its use.
+        """
         heard = [each.link for each in self.servers.values() if each.link.use is not None]
-        weights = [pipe.fresh(now) + 0.01 for pipe in heard]
-        total = sum(min(1.0, pipe.use) * weight for pipe, weight in zip(heard, weights, strict=True))
-        return total / (sum(weights) or 1.0)
+        mine = len(self.sessions) / max(1, len(self.servers)) / max(0.05, self.mean_use)
+        total = weights = 0.0
+        for pipe in heard:
+            use = min(1.0, pipe.use)
+            weight = (pipe.fresh(now) + 0.01) / (1 - math.exp(-mine * max(0.05, use) - 0.01))
+            total, weights = total + weight * use, weights + weight
+        if weights:
+            self.mean_use = total / weights
+        return self.mean_use if weights else 0.0
 
     def _uplink_need(self, now: int, rack: int, unheard: float, echo: float = 1.0) -> float:
         """Give what is asked of an uplink; a link asked for several times its rate still carries no more."""
