--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -40,7 +40,7 @@
 SHED_TO = 0.95  # part of what is delivered that the rungs kept may ask for, so that one step is enough
 SHED_WAIT = 2 * SECOND  # µs beside the age of notes before the same server is judged again
 NOTE_FADES = (
-    40 * SECOND
+    12 * SECOND
 )  # µs; in that time a noted use turns into the fleet's average: a few times a note's period
 SETTLE_WAIT = 6 * SECOND  # µs after a cut before the rung is settled anew: later notes show what the cut did
 FULL_LINK = 0.9  # noted use under which a link is not what makes delivery short
