--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -633,6 +633,8 @@
             if uplink.use is None and now - uplink.short_at > UPLINK_WAIT:
                 if self._uplink_need(now, server.rack, self._mean_use(now)) > uplink.limit * UPLINK_TRIED:
                     uplink.limit = min(uplink.limit * (1 + UPLINK_UP), self.settings.uplink_kb * UPLINK_MOST)
+            if fresh:
+                self._retest(now, server, session)
             self._settle(now, server)
         else:
             self.uplinks[server.rack].note(seen, event.value)
@@ -656,6 +658,17 @@
             self._charge(now, server, session, kb - session.kb)
         session.rung, session.kb = rung, kb
 
+    def _retest(self, now: int, server: _Server, session: _Session) -> None:
+        """Put the slot test to a session again when its set-up's own note tells the server's true use."""
+        kb = session.kb + server.link.limit * self._warmth(now, server) * MARK - server.link.need(now, 0.0)
+        rung = session.rung
+        while rung > self._class(session).floor and self._rate(session, rung) > kb:
+            rung -= 1
+        if rung < session.rung:
+            session.unsettled, session.since = True, now
+            self._set_rung(now, session, rung)
+            self.actions.append(api.SetRung(session.request, rung))
+
     def _settle(self, now: int, server: _Server) -> None:
         """Bring sessions cut for want of room, or found playing, to the rung that admission would give now.
 
