--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -28,6 +28,7 @@
 ZONE_ROOM = (
     10.0  # room that a holder in the own zone seems to have more, per told price of crossing: 0.2 at 0.02
 )
+CHOICES = 4  # holders looked at: more follow old notes in step with others, fewer meet full ones
 RETRY_ADVICE = SECOND  # µs; after a refusal: about one session of a server ends in that time
 MIN_LEFT = 60_000  # µs; with less time left no set-up can answer, so none is sent
 UNANSWERED = (
@@ -382,11 +383,18 @@
             ordered.append((key, server, min(link_room, rack_room)))
         ordered.sort(key=lambda each: each[0])
         top = self._worth_its_room(now, session, sum(racks))
-        for rung in range(top, service.floor - 1, -1):
+        for rung in range(top, service.floor, -1):
             kb = self._rate(session, rung)
             for _, server, room in ordered:
                 if not heard or kb <= room:
                     return server, rung
+        # Only what was heard may refuse: with most servers unheard, averages made of a handful of notes fill
+        # whole racks on paper and would turn viewers away beside idle servers.
+        kb = self._rate(session, service.floor)
+        racks = [self._uplink_need(now, rack, 0.0) for rack in range(self.settings.racks)]
+        for _, server, _ in ordered:
+            if not heard or kb <= min(self._rooms(now, server, racks, 0.0)):
+                return server, service.floor
         return None
 
     def _rooms(
@@ -407,6 +415,11 @@
                 continue
             if self._cold_pace(now, server):
                 found.append(server)
+        if len(found) > CHOICES:
+            # Danger: where all hold all, every gateway would pick the same few that were noted lowest until
+            # the next note; of a random few each still avoids the full ones. May hurt when most are down.
+            well = [each for each in found if not self._suspect(now, each, session)]
+            found = self.random.sample(well if len(well) >= CHOICES else found, CHOICES)
         return found
 
     def _mean_use(self, now: int) -> float:
