--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -28,7 +28,7 @@
 ZONE_ROOM = (
     10.0  # room that a holder in the own zone seems to have more, per told price of crossing: 0.2 at 0.02
 )
-CHOICES = 4  # holders looked at: more follow old notes in step with others, fewer meet full ones
+CHOICES = 16  # holders looked at: more follow old notes in step with others, fewer meet full ones
 RETRY_ADVICE = SECOND  # µs; after a refusal: about one session of a server ends in that time
 MIN_LEFT = 60_000  # µs; with less time left no set-up can answer, so none is sent
 UNANSWERED = (
