--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -28,7 +28,6 @@
 ZONE_ROOM = (
     10.0  # room that a holder in the own zone seems to have more, per told price of crossing: 0.2 at 0.02
 )
-CHOICES = 16  # holders looked at: more follow old notes in step with others, fewer meet full ones
 RETRY_ADVICE = SECOND  # µs; after a refusal: about one session of a server ends in that time
 MIN_LEFT = 60_000  # µs; with less time left no set-up can answer, so none is sent
 UNANSWERED = (
@@ -415,11 +414,6 @@
                 continue
             if self._cold_pace(now, server):
                 found.append(server)
-        if len(found) > CHOICES:
-            # Danger: where all hold all, every gateway would pick the same few that were noted lowest until
-            # the next note; of a random few each still avoids the full ones. May hurt when most are down.
-            well = [each for each in found if not self._suspect(now, each, session)]
-            found = self.random.sample(well if len(well) >= CHOICES else found, CHOICES)
         return found
 
     def _mean_use(self, now: int) -> float:
