--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -37,7 +37,7 @@
 SUSPECT_MAX = 16 * SECOND  # µs; longest such time: faults last tens of seconds and must be noticed as over
 FULL_PAUSE = SECOND  # µs; a server that said it is full is passed over so long: one slot
 SHED_BELOW = 0.96  # delivered share under which rungs are stepped down: a little short costs less than a step
-SHED_TO = 0.95  # part of what is delivered that the rungs kept may ask for, so that one step is enough
+SHED_TO = 0.8  # part of what is delivered that the rungs kept may ask for, so that one step is enough
 SHED_WAIT = 2 * SECOND  # µs beside the age of notes before the same server is judged again
 NOTE_FADES = (
     12 * SECOND
