--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -28,6 +28,7 @@
 ZONE_ROOM = (
     10.0  # room that a holder in the own zone seems to have more, per told price of crossing: 0.2 at 0.02
 )
+CHOICES = 4  # holders looked at: more follow old notes in step with others, fewer meet full ones
 RETRY_ADVICE = SECOND  # µs; after a refusal: about one session of a server ends in that time
 MIN_LEFT = 60_000  # µs; with less time left no set-up can answer, so none is sent
 UNANSWERED = (
@@ -40,7 +41,7 @@
 SHED_TO = 0.8  # part of what is delivered that the rungs kept may ask for, so that one step is enough
 SHED_WAIT = 2 * SECOND  # µs beside the age of notes before the same server is judged again
 NOTE_FADES = (
-    12 * SECOND
+    30 * SECOND
 )  # µs; in that time a noted use turns into the fleet's average: a few times a note's period
 SETTLE_WAIT = 6 * SECOND  # µs after a cut before the rung is settled anew: later notes show what the cut did
 FULL_LINK = 0.9  # noted use under which a link is not what makes delivery short
@@ -51,9 +52,18 @@
 UPLINK_LEAST, UPLINK_MOST = 0.6, 1.4  # bounds of both, of what is told: beyond the spread of real racks
 DEAD_BELOW = 0.1  # delivered share under which the server stands still: smaller rungs would not help
 DEMAND_MEMORY = 4 * SECOND  # µs; broken sessions count as demand so long: most viewers are back by then
+ASK_LIST, SEND_REPORT, SEND_TABLE = 0, 1, 2  # tokens of timers
+TABLE_FORMAT, REPORT_FORMAT = 0x11, 0x12  # first byte of a message: version and kind; others are passed over
+TABLE_COST = 0.006  # part of the result that messages may cost: a small part of what knowing the uses earns
+TABLE_BYTES = 240  # bytes of uses in one message, under the 256 that are carried
 PRICE_AGE = SECOND // 4  # µs; the price of room is worked out anew so often
 
 
+def _nibble(use: float) -> int:
+    """Pack a use into half a byte: 0 is none, then tenths."""
+    return 1 + min(14, max(0, round(use * 10)))
+
+
 class _Pipe:
     """Slot account of a link or an uplink: its noted use, and what this gateway changed since then."""
 
@@ -166,6 +176,10 @@
         self.handed_over = False  # sessions were playing when this gateway started
         self.price = (0.0, 1.0)  # worth for a kB of the marginal step, and the part of it that fits
         self.price_at = -PRICE_AGE
+        self.table: dict[int, tuple[float, int]] = {}  # sums and counts of uses reported for the next table
+        self.own_notes: dict[int, int] = {}  # when a note of a cell's server or, behind them, an uplink came
+        self.period = SECOND
+        self.by_cell: dict[int, list[_Server]] = {}
         self.actions: list[api.Action] = []
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -190,8 +204,11 @@
                 self.started = now
                 if self.settings.must_subscribe:
                     self.actions.append(api.Subscribe())
+                self._plan_table(now)
+            case api.PeerMessage():
+                self._hear(now, event.payload)
             case api.TimerFired():
-                self.actions.append(api.Subscribe())
+                self._timer(now, event.token)
         return self.actions
 
     # The list of servers
@@ -199,7 +216,7 @@
     def _list(self, now: int, event: api.ServerList) -> None:
         if event.kind is ListKind.FAILED:
             # A list service that is down must not be flooded by those who wait for it: ask again later.
-            self.actions.append(api.SetTimer(SECOND, 0))
+            self.actions.append(api.SetTimer(SECOND, ASK_LIST))
             return
         if event.kind is not ListKind.DELTA:
             listed = {entry.server for entry in event.entries}
@@ -212,6 +229,7 @@
                 server = self.servers[entry.server] = _Server(
                     entry, _Pipe(1.0), entry.cell % self.settings.racks
                 )
+                self.by_cell.setdefault(entry.cell, []).append(server)
             elif entry.started > server.entry.started:  # a new process: what was learned of the old is void
                 server.link.use, server.link.at = None, -1
                 server.strikes = server.suspect_until = 0
@@ -414,6 +432,11 @@
                 continue
             if self._cold_pace(now, server):
                 found.append(server)
+        if len(found) > CHOICES:
+            # Danger: where all hold all, every gateway would pick the same few that were noted lowest until
+            # the next note; of a random few each still avoids the full ones. May hurt when most are down.
+            well = [each for each in found if not self._suspect(now, each, session)]
+            found = self.random.sample(well if len(well) >= CHOICES else found, CHOICES)
         return found
 
     def _mean_use(self, now: int) -> float:
@@ -424,10 +447,11 @@
         """
         heard = [each.link for each in self.servers.values() if each.link.use is not None]
         mine = len(self.sessions) / max(1, len(self.servers)) / max(0.05, self.mean_use)
+        part = len(heard) / max(1, len(self.servers))  # heard of by whatever way
         total = weights = 0.0
         for pipe in heard:
             use = min(1.0, pipe.use)
-            weight = (pipe.fresh(now) + 0.01) / (1 - math.exp(-mine * max(0.05, use) - 0.01))
+            weight = (pipe.fresh(now) + 0.01) / max(part, 1 - math.exp(-mine * max(0.05, use)))
             total, weights = total + weight * use, weights + weight
         if weights:
             self.mean_use = total / weights
@@ -636,6 +660,7 @@
         seen = now if fresh else now - self.settings.note_age
         if event.kind is NoteKind.LINK:
             server.link.note(seen, event.value)
+            self.own_notes[server.entry.cell] = now
             uplink = self.uplinks[server.rack]
             if uplink.use is None and now - uplink.short_at > UPLINK_WAIT:
                 if self._uplink_need(now, server.rack, self._mean_use(now)) > uplink.limit * UPLINK_TRIED:
@@ -645,9 +670,87 @@
             self._settle(now, server)
         else:
             self.uplinks[server.rack].note(seen, event.value)
+            self.own_notes[self.settings.cells + server.rack] = now
         if session is not None and (event.kind is NoteKind.UPLINK or "x1" not in self.settings.load_fields):
             session.noted = True  # its set-up's own notes are told, later ones are late
 
+    # Messages between gateways
+
+    def _plan_table(self, now: int) -> None:
+        """Set the timer for this gateway's next report, at the same times at all gateways."""
+        s = self.settings
+        if not s.may_tell or s.instances < 2 or not s.notes_every:
+            return
+        size = (s.instances + 2) * (s.cells + s.racks + 20) / 2
+        rate = sum(each.quota_per_s for each in s.tenants) or 1.0
+        dear = int(s.tell_cost * size / (256 * rate * TABLE_COST) * SECOND)
+        self.period = max(s.notes_every // 2, dear)
+        self.actions.append(api.SetTimer(self.period - now % self.period, SEND_REPORT))
+
+    def _timer(self, now: int, token: int) -> None:
+        """Report the uses noted in the last period to the gateway whose turn it is, or send its table.
+
+        Danger: each gateway hears of a tenth of the servers only. One after the other, by the clock, takes
+        in what all have heard and tells everyone in half a byte a server or uplink. Only uses travel, and
+        bounded: what is lost, late or made up can sway the choice of a holder or rung, never a rule.
+        """
+        s = self.settings
+        if token == ASK_LIST:
+            self.actions.append(api.Subscribe())
+        elif token == SEND_REPORT:
+            hub = now // self.period * 7919 % s.instances
+            told = [(e.entry.cell, e.link) for e in self.servers.values() if e.sessions]
+            told += [(s.cells + rack, pipe) for rack, pipe in enumerate(self.uplinks)]
+            fresh = [(n, pipe.use) for n, pipe in told if pipe.use is not None and now - pipe.at < self.period]
+            fresh = [each for each in fresh if self.own_notes.get(each[0], -1) > now - self.period]
+            if hub == s.instance:
+                for n, use in fresh:
+                    total, count = self.table.get(n, (0.0, 0))
+                    self.table[n] = (total + use, count + 1)
+                self.actions.append(api.SetTimer(SECOND // 5, SEND_TABLE))
+            elif fresh:
+                packed = b"".join(n.to_bytes(2, "big") + bytes([_nibble(use)]) for n, use in fresh[:80])
+                self.actions.append(api.TellPeers(bytes([REPORT_FORMAT]) + packed, hub))
+            self._plan_table(now)
+        elif self.table:
+            codes = [0] * (s.cells + s.racks + 1)
+            for n, (total, count) in self.table.items():
+                codes[n] = _nibble(total / count)
+            packed = bytes(high << 4 | low for high, low in zip(codes[::2], codes[1::2], strict=False))
+            for at in range(0, len(packed), TABLE_BYTES):
+                part = packed[at : at + TABLE_BYTES]
+                head = bytes([TABLE_FORMAT]) + (2 * at).to_bytes(2, "big")
+                self.actions.append(api.TellPeers(head + part))
+            self._take_table(now, 0, packed)
+            self.table = {}
+
+    def _hear(self, now: int, payload: bytes) -> None:
+        """Take a report or a table of a peer; what is not in its format is passed over."""
+        size = self.settings.cells + self.settings.racks
+        if not self.settings.may_tell or len(payload) < 4:
+            return
+        if payload[0] == REPORT_FORMAT:
+            for at in range(1, len(payload) - 2, 3):
+                n, code = int.from_bytes(payload[at : at + 2], "big"), payload[at + 2]
+                if n < size and 0 < code < 16:
+                    total, count = self.table.get(n, (0.0, 0))
+                    self.table[n] = (total + (code - 1) / 10, count + 1)
+        elif payload[0] == TABLE_FORMAT:
+            self._take_table(now, int.from_bytes(payload[1:3], "big"), payload[3:])
+
+    def _take_table(self, now: int, first: int, packed: bytes) -> None:
+        cells, seen = self.settings.cells, now - self.period
+        codes = (code for both in packed for code in (both >> 4, both & 15))
+        for n, code in enumerate(codes, first):
+            if not code:
+                continue
+            if n < cells:
+                for server in self.by_cell.get(n, ()):
+                    if server.entry.started < seen and server.entry.state is ServerState.READY:
+                        server.link.note(seen, (code - 1) / 10)
+            elif n < cells + len(self.uplinks):
+                self.uplinks[n - cells].note(seen, (code - 1) / 10)
+
     def _load(self, now: int, server_id: bytes, load: Iterable[float]) -> None:
         server = self.servers.get(server_id)
         if server is None:
