--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -21,7 +21,7 @@
 SLOT = SECOND  # µs; a slot of the link account: the design's second, well under a session's length
 DEFAULT_LENGTH = 120 * SECOND  # µs; charge of a session with no hint: over the usual length, as ends are told
 MARK = 0.97  # part of a link that the slot test may fill: room for rates above the ladder and late notes
-FILL = 0.9  # part of the room that the price of room fills: what lies up to the mark is kept for newcomers
+FILL = 0.75  # part of the room that the price of room fills: what lies up to the mark is kept for newcomers
 NO_LIMIT = 1e12  # kB a second; a link or uplink of which nothing is told
 MAX_SIZE = 1000.0  # sizes told beyond this or under its inverse are taken for broken
 MAX_USE = 20.0  # noted use above this is taken for a broken report
@@ -54,7 +54,7 @@
 DEMAND_MEMORY = 4 * SECOND  # µs; broken sessions count as demand so long: most viewers are back by then
 ASK_LIST, SEND_REPORT, SEND_TABLE = 0, 1, 2  # tokens of timers
 TABLE_FORMAT, REPORT_FORMAT = 0x11, 0x12  # first byte of a message: version and kind; others are passed over
-TABLE_COST = 0.006  # part of the result that messages may cost: a small part of what knowing the uses earns
+TABLE_COST = 0.012  # part of the result that messages may cost: a small part of what knowing the uses earns
 TABLE_BYTES = 240  # bytes of uses in one message, under the 256 that are carried
 PRICE_AGE = SECOND // 4  # µs; the price of room is worked out anew so often
 
