--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -21,7 +21,7 @@
 SLOT = SECOND  # µs; a slot of the link account: the design's second, well under a session's length
 DEFAULT_LENGTH = 120 * SECOND  # µs; charge of a session with no hint: over the usual length, as ends are told
 MARK = 0.97  # part of a link that the slot test may fill: room for rates above the ladder and late notes
-FILL = 0.75  # part of the room that the price of room fills: what lies up to the mark is kept for newcomers
+FILL_FEW, FILL_ALL = 0.75, 0.9  # part of the room that the price fills where own sessions lie at none, at all
 NO_LIMIT = 1e12  # kB a second; a link or uplink of which nothing is told
 MAX_SIZE = 1000.0  # sizes told beyond this or under its inverse are taken for broken
 MAX_USE = 20.0  # noted use above this is taken for a broken report
@@ -500,6 +500,8 @@
             own += self._rate(asker, min(asker.best, len(self.settings.rung_kb) // 2))
         if need <= 0:
             return 0.0, 1.0
+        # What is noted of servers without own sessions is thin or old: less of their room can be counted on.
+        known = sum(1 for each in self.servers.values() if each.sessions) / max(1, len(self.servers))
         room = 0.0
         for rack, uplink in enumerate(self.uplinks):
             links = sum(
@@ -507,7 +509,7 @@
                 for each in self.servers.values()
                 if each.rack == rack and each.entry.state is ServerState.READY
             )
-            room += min(links, uplink.limit) * FILL
+            room += min(links, uplink.limit) * (FILL_FEW + (FILL_ALL - FILL_FEW) * known)
         heard = any(each.link.use is not None for each in self.servers.values())
         left = own * room / need if heard else room / self.settings.instances
         steps: dict[float, float] = {}
@@ -797,11 +799,12 @@
         uplink = self.uplinks[server.rack]
         link_growth = server.link.limit * self._warmth(now, server) / max(1.0, server.link.need(now, unheard))
         growth = MARK * min(link_growth, uplink.limit / max(1.0, racks[server.rack]))
+        room = (growth - 1) * sum(each.kb for each in server.sessions.values() if each.playing)
         for session in sorted(waiting, key=lambda e: (-e.worth, e.request)):
-            target = session.kb * growth
             for rung in range(self._worth_its_room(now, session, sum(racks)), session.rung, -1):
-                below, kb = self._rate(session, rung - 1), self._rate(session, rung)
-                if (target - below) / (kb - below) > self.random.random():
+                more = self._rate(session, rung) - session.kb
+                if more <= room or (rung == session.rung + 1 and self.random.random() * more < room):
+                    room -= more
                     session.unsettled = False
                     self._set_rung(now, session, rung)
                     self.actions.append(api.SetRung(session.request, rung))
