--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -3,8 +3,7 @@
 Its types, events and actions are in `interface.py`. Outline: tuned values; `_Pipe`, the slot account of a
 link or rack uplink; `_Server` and `_Session`; `Controller`, whose parts are the list of servers, requests and
 attempts, admission (slot test, price of room, holder order), guards (cold pace, seats, attempt budget),
-notes, messages between gateways, and the step-down under short delivery. Times are microseconds, rates kB a
-second.
+notes, and the step-down under short delivery. Times are microseconds, rates kB a second.
 """
 
 from __future__ import annotations
@@ -12,15 +11,14 @@
 import math
 import random
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
 from mintmast import interface as api
 from mintmast.interface import Effect, ListKind, NoteKind, Outcome, ServerState
 
 SECOND = 1_000_000
-# µs; a slot of the link account: the design's second, well under a session's length
-SLOT = SECOND
+SLOT = SECOND  # µs; a slot of the link account: the design's second, well under a session's length
 # µs; charge of a session with no hint: over the usual length, as ends are told
 DEFAULT_LENGTH = 120 * SECOND
 # part of a link that the slot test may fill: room for rates above the ladder and late notes
@@ -28,8 +26,7 @@
 # part of the room that the price fills where own sessions lie at no server, at all: what is noted of servers
 # without own sessions is thin or old, so less of their room can be counted on
 FILL_FEW, FILL_ALL = 0.75, 0.9
-# kB a second; a link or uplink of which nothing is told
-NO_LIMIT = 1e12
+NO_LIMIT = 1e12  # kB a second; a link or uplink of which nothing is told
 # sizes told beyond this or under its inverse, and uses noted above the other, are taken for broken
 MAX_SIZE, MAX_USE = 1000.0, 20.0
 # part of a link; room that a holder in the own zone seems to have more, per told price of crossing
@@ -39,46 +36,26 @@
 CHOICES, DRAWN = 4, 16
 # µs; advice after a refusal: about one session of a server ends in that time
 RETRY_ADVICE = SECOND
-# µs; with less time left no set-up can answer, so none is sent
-MIN_LEFT = 60_000
+MIN_LEFT = 60_000  # µs; with less time left no set-up can answer, so none is sent
 # µs; a server with a set-up out for so long may stand still: several usual set-ups
 UNANSWERED = SECOND * 2 // 5
 # µs; a server is passed over so long after a failed set-up, doubled with each in a row up to the second:
 # faults last tens of seconds and must be noticed as over. So long after it said that it is full: one slot
 SUSPECT, SUSPECT_MAX, FULL_PAUSE = 2 * SECOND, 16 * SECOND, SECOND
-# delivered share under which rungs are stepped down: a little short costs less than a step
-SHED_BELOW = 0.96
-# part of what is delivered that the rungs kept may ask for: rates vary and set-ups are under way
-SHED_TO = 0.8
-# µs beside the age of notes before the same server is judged again
-SHED_WAIT = 2 * SECOND
+SHED_BELOW = 0.96  # delivered share under which rungs are stepped down: a little short costs less
+SHED_TO = 0.8  # part of what is delivered that rungs kept may ask for: rates vary, set-ups are under way
+SHED_WAIT = 2 * SECOND  # µs beside the age of notes before the same server is judged again
 # µs; in that time a noted use turns into the fleet's average: about a session.s length
 NOTE_FADES = 30 * SECOND
-# µs after a cut before the rung is settled anew: later notes show what the cut did
-SETTLE_WAIT = 6 * SECOND
-# noted use under which a link is not what makes delivery short
-FULL_LINK = 0.9
-# an uplink's told rate falls by so much of a missing share, as each server notes it, and rises by so much at
-# a note of a link while well used (by that part) and for so long (µs) never short; both within these bounds of
-# what is told, beyond the spread of real racks
+SETTLE_WAIT = 6 * SECOND  # µs after a cut before the rung is settled anew: notes show what the cut did
+FULL_LINK = 0.9  # noted use under which a link is not what makes delivery short
+# an uplink's told rate falls by so much of a missing share, as each server notes it; it rises by so much at a
+# link's note while used by that part and for so long (µs) never short; bounds beyond the spread of real racks
 UPLINK_DOWN, UPLINK_UP, UPLINK_TRIED, UPLINK_WAIT = 0.3, 0.01, 0.85, 5 * SECOND
 UPLINK_LEAST, UPLINK_MOST = 0.6, 1.4
-# delivered share under which the server stands still: smaller rungs would not help
-DEAD_BELOW = 0.1
-# µs; broken sessions count as demand so long: most viewers are back by then
-DEMAND_MEMORY = 4 * SECOND
-# µs; sums over the fleet and the price of room are worked out anew so often
-SURVEY_AGE = SECOND // 4
-# use under which a server's chance to be heard of is not told apart: the thinnest note's weight stays bounded
-LEAST_USE = 0.05
-# tokens of timers
-ASK_LIST, SEND_REPORT, SEND_TABLE = 0, 1, 2
-# first byte of a message, version and kind, and the bytes behind the head: under the 256 that are carried
-TABLE, REPORT, MESSAGE_BYTES = 0x11, 0x12, 240
-# part of the result that messages may cost by their told price: a small part of what they earn
-TABLE_COST = 0.012
-# µs from the turn of a period until the table is sent: reports are in by then
-TABLE_WAIT = SECOND // 5
+DEAD_BELOW = 0.1  # delivered share under which a server stands still: smaller rungs would not help
+DEMAND_MEMORY = 4 * SECOND  # µs; broken sessions count as demand so long: most viewers are back by then
+SURVEY_AGE = SECOND // 4  # µs; sums over the fleet and the price of room are worked out anew so often
 
 
 class _Pipe:
@@ -125,6 +102,10 @@
         use = fresh * self.use + (1 - fresh) * unheard if fresh else unheard
         return max(0.0, use * self.limit + (self.changed(now) if self.changes else 0.0))
 
+    def heard(self, now: int, unheard: float) -> float:
+        """Give the same, but nothing for a use never noted: what this gateway has reason to believe."""
+        return self.need(now, 0.0 if self.use is None else unheard)
+
     def fresh(self, now: int) -> float:
         """Give the weight of the note: 1 when new, 0 when nobody can say any more."""
         return 0.0 if self.use is None else max(0.0, 1 - (now - self.at) / NOTE_FADES)
@@ -189,58 +170,44 @@
         self.broken: deque[tuple[int, _Session]] = deque()
         self.started = 0
         self.handed_over = False  # sessions were playing when this gateway started
-        # Sums over the fleet: mean use, whether any use is noted, what is asked of each uplink with averages
-        # for servers unheard and without, and the room that the price fills.
+        # Sums over the fleet: what is asked of each uplink with and without averages for servers unheard ...
         self.surveyed = -SURVEY_AGE
-        self.mean_use, self.heard, self.room = 0.5, False, 0.0
+        self.mean_use, self.heard, self.room = 0.0, False, 0.0
         self.needs, self.known = [0.0] * s.racks, [0.0] * s.racks
         self.price = (0.0, 1.0)  # worth for a kB of the marginal step, and the part of it that fits
         self.price_at = -SURVEY_AGE
-        self.fresh: dict[int, float] = {}  # uses noted since the last report, by cell or, behind them, rack
-        self.table: dict[int, tuple[float, int]] = {}  # sums and counts of uses reported for the next table
-        self.period = 0  # between tables; 0: no messages
-        rate = sum(each.quota_per_s for each in s.tenants) or 1.0
-        if s.may_tell and s.instances > 1 and s.notes_every:
-            size = (s.instances + 2) * (s.cells + s.racks + 20) / 2
-            dear = s.tell_cost * size / (256 * rate * TABLE_COST) * SECOND
-            self.period = max(s.notes_every // 2, int(dear))
         self.actions: list[api.Action] = []
+        self.handlers: dict[type, Callable[..., None]] = {
+            api.Started: self._started,
+            api.ServerList: self._list,
+            api.SessionRequest: self._request,
+            api.SessionOpen: self._open,
+            api.Playing: self._playing,
+            api.Note: self._note,
+            api.AttemptEnd: self._attempt_end,
+            api.ViewerGone: self._viewer_gone,
+            api.TimerFired: lambda *_: self.actions.append(api.Subscribe()),
+        }
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Take one event at time `now` and give the actions that follow from it."""
         self.actions = []
-        match event:
-            case api.SessionRequest():
-                self._request(now, event)
-            case api.AttemptEnd():
-                self._attempt_end(now, event)
-            case api.Playing():
-                self._playing(now, event)
-            case api.Note():
-                self._note(now, event)
-            case api.ServerList():
-                self._list(event)
-            case api.SessionOpen():
-                self._open(now, event)
-            case api.ViewerGone():
-                self._viewer_gone(event)
-            case api.PeerMessage():
-                self._hear(now, event.payload)
-            case api.TimerFired():
-                self._timer(now, event.token)
-            case api.Started():
-                self.started = now
-                if self.settings.must_subscribe:
-                    self.actions.append(api.Subscribe())
-                self._next_report(now)
+        handler = self.handlers.get(type(event))
+        if handler is not None:
+            handler(now, event)
         return self.actions
 
+    def _started(self, now: int, _: api.Started) -> None:
+        self.started = now
+        if self.settings.must_subscribe:
+            self.actions.append(api.Subscribe())
+
     # The list of servers
 
-    def _list(self, event: api.ServerList) -> None:
+    def _list(self, now: int, event: api.ServerList) -> None:
         if event.kind is ListKind.FAILED:
             # A list service that is down must not be flooded by those who wait for it: ask again later.
-            self.actions.append(api.SetTimer(SECOND, ASK_LIST))
+            self.actions.append(api.SetTimer(SECOND, 0))
             return
         new = event.kind is not ListKind.DELTA
         if new:
@@ -384,7 +351,7 @@
             server.sessions[event.request] = session
             self._charge(now, server, session, session.kb)
 
-    def _viewer_gone(self, event: api.ViewerGone) -> None:
+    def _viewer_gone(self, now: int, event: api.ViewerGone) -> None:
         session = self.sessions.get(event.request)
         if session is None or session.over:
             return
@@ -419,7 +386,8 @@
         # would turn viewers away beside idle servers. They may lower the rung; only what was heard refuses.
         # May hurt under an overload of which nothing is heard: links then fill with sessions at the floor.
         for _, server, _ in ordered:
-            room = min(self._rooms(now, server, 0.0, self.known))
+            unheard = 0.0 if server.link.use is None else self.mean_use
+            room = min(self._rooms(now, server, unheard, self.known))
             if not self.heard or self._rate(session, floor) <= room:
                 return server, floor
         return None
@@ -452,37 +420,28 @@
         return found
 
     def _survey(self, now: int) -> None:
-        """Renew the sums over the fleet, once in a short while; own charges are added as they come.
-
-        Danger: with a handful of sessions a gateway hears most of servers that carry much, and would take
-        all others for as full. Each note is weighed by the inverse of the chance to be heard of at its use.
-        """
+        """Renew the sums over the fleet, once in a short while; own charges are added as they come."""
         if now - self.surveyed < SURVEY_AGE:
             return
         self.surveyed = now
         listed = [each for each in self.servers.values() if each.entry.state is not ServerState.GONE]
         heard = [each.link for each in self.servers.values() if each.link.use is not None]
-        self.heard, size = bool(heard), max(1, len(listed))
-        mine, part = len(self.sessions) / size / max(LEAST_USE, self.mean_use), len(heard) / size
-        total = weights = 0.0
-        for pipe in heard:
-            use = min(1.0, pipe.use)
-            chance = max(part, 1 - math.exp(-mine * max(LEAST_USE, use)))
-            weight = (pipe.fresh(now) + 0.01) / chance
-            total, weights = total + weight * use, weights + weight
-        self.mean_use = total / weights if weights else 0.0
+        self.heard = bool(heard)
+        weights = [pipe.fresh(now) + 0.01 for pipe in heard]
+        uses = sum(min(1.0, pipe.use) * weight for pipe, weight in zip(heard, weights, strict=True))
+        self.mean_use = uses / (sum(weights) or 1.0)
         racks = len(self.uplinks)
         self.needs, self.known, links = [0.0] * racks, [0.0] * racks, [0.0] * racks
         for each in listed:  # a link asked for several times its rate still carries no more
             link = each.link
             self.needs[each.rack] += min(link.need(now, self.mean_use), link.limit)
-            self.known[each.rack] += min(link.need(now, 0.0), link.limit)
+            self.known[each.rack] += min(link.heard(now, self.mean_use), link.limit)
             if each.entry.state is ServerState.READY:
                 links[each.rack] += link.limit * self._warmth(now, each)
         for rack, pipe in enumerate(self.uplinks):
             if pipe.use is not None:
-                self.needs[rack], self.known[rack] = pipe.need(now, self.mean_use), pipe.need(now, 0.0)
-        own = sum(1 for each in listed if each.sessions) / size
+                self.needs[rack] = self.known[rack] = pipe.need(now, self.mean_use)
+        own = sum(1 for each in listed if each.sessions) / max(1, len(listed))
         fill = FILL_FEW + (FILL_ALL - FILL_FEW) * own
         self.room = fill * sum(min(link, pipe.limit) for link, pipe in zip(links, self.uplinks, strict=True))
 
@@ -663,17 +622,12 @@
         uplink = self.uplinks[server.rack]
         if event.kind is NoteKind.LINK:
             server.link.note(seen, event.value)
-            self.fresh[server.entry.cell] = event.value
-            self._survey(now)
             if uplink.use is None and now - uplink.short_at[0] > UPLINK_WAIT:
                 if self.needs[server.rack] > uplink.limit * UPLINK_TRIED:
                     uplink.limit = min(uplink.limit * (1 + UPLINK_UP), self.settings.uplink_kb * UPLINK_MOST)
-            if first:
-                self._retest(now, server, session)
             self._settle(now, server)
         else:
             uplink.note(seen, event.value)
-            self.fresh[self.settings.cells + server.rack] = event.value
         if session is not None and (event.kind is NoteKind.UPLINK or "x1" not in self.settings.load_fields):
             session.noted = True  # its set-up's own notes are told, later ones are late
 
@@ -694,21 +648,6 @@
             self._charge(now, server, session, kb - session.kb)
         session.rung, session.kb = rung, kb
 
-    def _retest(self, now: int, server: _Server, session: _Session) -> None:
-        """Put the slot test to a session again when its set-up's own note tells the server's true use.
-
-        Danger: at a server unheard the test ran on the fleet's average, and a full link would starve all.
-        Holds for old notes and several gateways that came at once, too. May hurt: a change of rung is priced.
-        """
-        room = server.link.limit * self._warmth(now, server) * MARK - server.link.need(now, 0.0)
-        rung = session.rung
-        while rung > session.service.floor and self._rate(session, rung) > session.kb + room:
-            rung -= 1
-        if rung < session.rung:
-            session.unsettled, session.since = True, now
-            self._set_rung(now, session, rung)
-            self.actions.append(api.SetRung(session.request, rung))
-
     def _settle(self, now: int, server: _Server) -> None:
         """Bring sessions cut for want of room, or found playing, to the rung that admission would give now.
 
@@ -722,6 +661,7 @@
         waiting = [e for e in waiting if now - e.since >= SETTLE_WAIT]
         if not waiting:
             return
+        self._survey(now)
         link = server.link.limit * self._warmth(now, server) / max(1.0, server.link.need(now, self.mean_use))
         growth = MARK * min(link, self.uplinks[server.rack].limit / max(1.0, self.needs[server.rack]))
         room = (growth - 1) * sum(each.kb for each in server.sessions.values() if each.playing)
@@ -735,75 +675,6 @@
                     self.actions.append(api.SetRung(session.request, rung))
                     break
 
-    # Messages between gateways
-
-    def _next_report(self, now: int) -> None:
-        """Set the timer for the next report, for the same time at all gateways."""
-        if self.period:
-            self.actions.append(api.SetTimer(self.period - now % self.period, SEND_REPORT))
-
-    def _timer(self, now: int, token: int) -> None:
-        """Ask for the list again, report uses to the gateway whose turn it is, or send its table to all.
-
-        Danger: each gateway hears of a tenth of the servers only. One after the other, by the clock, takes
-        in what all have heard and tells everyone in half a byte a server or uplink. Only uses travel, and
-        bounded: what is lost, late or made up can sway the choice of a holder or rung, never a rule. May
-        hurt when all follow the same table: each looks at a random few holders only.
-        """
-        s = self.settings
-        if token == ASK_LIST:
-            self.actions.append(api.Subscribe())
-        elif token == SEND_REPORT:
-            turn = now // self.period % s.instances
-            told = [(n, 1 + min(14, round(use * 10))) for n, use in sorted(self.fresh.items())]
-            self.fresh = {}
-            if turn == s.instance:
-                self._collect(told)
-                self.actions.append(api.SetTimer(TABLE_WAIT, SEND_TABLE))
-            else:
-                self.table = {}
-                packed = b"".join(n.to_bytes(2) + bytes([code]) for n, code in told[: MESSAGE_BYTES // 3])
-                if packed:
-                    self.actions.append(api.TellPeers(bytes([REPORT]) + packed, turn))
-            self._next_report(now)
-        elif self.table:
-            codes = [0] * (s.cells + s.racks + 1)
-            for n, (total, count) in self.table.items():
-                codes[n] = round(total / count)
-            packed = bytes(high << 4 | low for high, low in zip(codes[::2], codes[1::2], strict=False))
-            for at in range(0, len(packed), MESSAGE_BYTES):
-                head = bytes([TABLE]) + (2 * at).to_bytes(2)
-                self.actions.append(api.TellPeers(head + packed[at : at + MESSAGE_BYTES]))
-            self._take_table(now, 0, packed)
-            self.table = {}
-
-    def _collect(self, told: Iterable[tuple[int, int]]) -> None:
-        for n, code in told:
-            if n < self.settings.cells + self.settings.racks and 0 < code < 16:
-                total, count = self.table.get(n, (0.0, 0))
-                self.table[n] = (total + code, count + 1)
-
-    def _hear(self, now: int, payload: bytes) -> None:
-        """Take a report or a table of a peer; what is not in its format is passed over."""
-        if not self.period or len(payload) < 4:
-            return
-        if payload[0] == REPORT:
-            starts = range(1, len(payload) - 2, 3)
-            self._collect((int.from_bytes(payload[at : at + 2]), payload[at + 2]) for at in starts)
-        elif payload[0] == TABLE:
-            self._take_table(now, int.from_bytes(payload[1:3]), payload[3:])
-
-    def _take_table(self, now: int, first: int, packed: bytes) -> None:
-        cells, seen = self.settings.cells, now - self.period
-        codes = (code for both in packed for code in (both >> 4, both & 15))
-        for n, code in enumerate(codes, first):
-            if code and n < cells:
-                for server in self.by_cell.get(n, ()):
-                    if server.entry.started < seen and server.entry.state is ServerState.READY:
-                        server.link.note(seen, (code - 1) / 10)
-            elif code and n - cells < len(self.uplinks):
-                self.uplinks[n - cells].note(seen, (code - 1) / 10)
-
     # Step-down
 
     def _short(self, now: int, server: _Server, share: float) -> None:
