--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -1,9 +1,8 @@
 """Every decision of the controller: where a session plays, at which rung, or that it is refused.
 
 Its types, events and actions are in `interface.py`. Outline: tuned values; `_Pipe`, the slot account of a
-link or rack uplink; `_Server` and `_Session`; `Controller`, whose parts are the list of servers, requests and
-attempts, admission (slot test, price of room, holder order), guards (cold pace, seats, attempt budget),
-notes, and the step-down under short delivery. Times are microseconds, rates kB a second.
+link or rack uplink; `Controller`: list of servers, requests and attempts, admission (slot test, price of room,
+holder order), guards, notes, step-down under short delivery. Times are microseconds, rates kB a second.
 """
 
 from __future__ import annotations
@@ -170,7 +169,7 @@
         self.broken: deque[tuple[int, _Session]] = deque()
         self.started = 0
         self.handed_over = False  # sessions were playing when this gateway started
-        # Sums over the fleet: what is asked of each uplink with and without averages for servers unheard ...
+        # Sums over the fleet; asked of each uplink, with and without averages for servers unheard:
         self.surveyed = -SURVEY_AGE
         self.mean_use, self.heard, self.room = 0.0, False, 0.0
         self.needs, self.known = [0.0] * s.racks, [0.0] * s.racks
