--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -1,8 +1,8 @@
 """Every decision of the controller: where a session plays, at which rung, or that it is refused.
 
 Its types, events and actions are in `interface.py`. Outline: tuned values; `_Pipe`, the slot account of a
-link or rack uplink; `Controller`: list of servers, requests and attempts, admission (slot test, price of room,
-holder order), guards, notes, step-down under short delivery. Times are microseconds, rates kB a second.
+link or rack uplink; `Controller`: list of servers, requests and attempts, admission (slot test, price of
+room, holder order), guards, notes, step-down under short delivery. Times are microseconds, rates kB a second.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 MARK = 0.97
 # part of the room that the price fills where own sessions lie at no server, at all: what is noted of servers
 # without own sessions is thin or old, so less of their room can be counted on
-FILL_FEW, FILL_ALL = 0.75, 0.9
+FILL_FEW, FILL_ALL = 0.75, 1.0
 NO_LIMIT = 1e12  # kB a second; a link or uplink of which nothing is told
 # sizes told beyond this or under its inverse, and uses noted above the other, are taken for broken
 MAX_SIZE, MAX_USE = 1000.0, 20.0
