--- a/mintmast/interface.py
+++ b/mintmast/interface.py
@@ -130,8 +130,6 @@
     load_fields: tuple[str, ...]
     cross_zone_cost: float = 0.0
     move_cost: float = 0.0
-    may_tell: bool = False
-    tell_cost: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/mintmast/wire.py
+++ b/mintmast/wire.py
@@ -378,6 +378,4 @@
         load_fields=tuple(str(each) for each in report.get("fields", ())) if piggyback else (),
         cross_zone_cost=_number(costs.get("crossZone", 0)),
         move_cost=_number(costs.get("moves", 0)),
-        may_tell=bool(caps.get("peers", False)),
-        tell_cost=_number(costs.get("peer", 0)),
     )
