--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -423,7 +423,8 @@
         if now - self.surveyed < SURVEY_AGE:
             return
         self.surveyed = now
-        listed = [each for each in self.servers.values() if each.entry.state is not ServerState.GONE]
+        # Those that drain count no more: their sessions leave, and their successors count beside them.
+        listed = [each for each in self.servers.values() if each.entry.state is ServerState.READY]
         heard = [each.link for each in self.servers.values() if each.link.use is not None]
         self.heard = bool(heard)
         weights = [pipe.fresh(now) + 0.01 for pipe in heard]
@@ -435,8 +436,7 @@
             link = each.link
             self.needs[each.rack] += min(link.need(now, self.mean_use), link.limit)
             self.known[each.rack] += min(link.heard(now, self.mean_use), link.limit)
-            if each.entry.state is ServerState.READY:
-                links[each.rack] += link.limit * self._warmth(now, each)
+            links[each.rack] += link.limit * self._warmth(now, each)
         for rack, pipe in enumerate(self.uplinks):
             if pipe.use is not None:
                 self.needs[rack] = self.known[rack] = pipe.need(now, self.mean_use)
