--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -237,3 +237,11 @@
         use(gateway, T0, box(3).server, 0.96)
         taken += sent(gateway.handle(T0, request(1, best=0)))[0].server == box(3).server
     assert taken == 0
+
+
+def test_a_draining_server_no_longer_counts_for_its_uplink():
+    gateway = fleet(2, uplink_kb=15_000.0)
+    use(gateway, T0, BOX[0], 0.9)
+    gateway.handle(T0 + S, api.ServerList(api.ListKind.DELTA, 2, (box(0, api.ServerState.DRAINING),)))
+    use(gateway, T0 + S, BOX[1], 0.1, 9001)
+    assert rung(gateway.handle(T0 + 2 * S, request(1))) == 3
