--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -588,7 +588,6 @@
             server.warned, server.up_since = now, None
         if event.outcome is Outcome.FULL:
             server.suspect_until = max(server.suspect_until, now + FULL_PAUSE)
-            server.link.note(now, max(1.0, server.link.use or 0.0))  # whatever it is full of
         elif event.outcome in (Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.CONNECT_FAILED):
             server.suspect_until = now + min(SUSPECT_MAX, SUSPECT << min(server.strikes, 10))
             server.strikes += 1
