--- /dev/null
+++ b/mintmast/__main__.py
@@ -0,0 +1,6 @@
+"""`python -m mintmast`."""
+
+from mintmast.cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/mintmast/cli/__init__.py
@@ -0,0 +1,163 @@
+"""The command line. Exit 0: good; 1: a rule or check failed; 2: bad use or input."""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import Any
+
+import click
+
+
+def _bad(lines: list[str]) -> None:
+    for line in lines:
+        click.echo(f"mintmast: {line}", err=True)
+    sys.exit(2)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="mintmast")
+def main() -> None:
+    """Place and shape video sessions on a fleet of media hosts."""
+
+
+@main.command()
+@click.argument("config", type=click.Path())
+def serve(config: str) -> None:
+    """Run the gateway with the settings in CONFIG until SIGTERM or SIGINT."""
+    from mintmast.cli.serve import serve as run
+
+    sys.exit(run(config))
+
+
+@main.group()
+def config() -> None:
+    """Look at and check settings."""
+
+
+@config.command("schema")
+def config_schema() -> None:
+    """Print the JSON Schema of the settings."""
+    from mintmast.config import SCHEMA
+
+    click.echo(json.dumps(SCHEMA, indent=2))
+
+
+@config.command("check")
+@click.argument("file", type=click.Path())
+def config_check(file: str) -> None:
+    """Check FILE; every error is told with its place, the value and what is allowed."""
+    from mintmast.config import ConfigError, load
+
+    try:
+        config = load(file)
+    except ConfigError as error:
+        _bad(error.errors)
+        return
+    counts = len(config.entries), len(config.titles), len(config.classes)
+    click.echo("good: {} hosts, {} titles, {} classes".format(*counts))
+
+
+@main.command()
+@click.argument("file", type=click.Path())
+@click.option("--class", "service", required=True, help="Class of sessions that the viewer may play.")
+@click.option("--tenant", default="", help="Tenant whose viewer it is.")
+@click.option("--subject", default="viewer", show_default=True, help="Who the viewer is.")
+@click.option("--rung", type=int, default=255, help="Highest rung that the viewer can use.")
+@click.option("--life", type=int, default=600, show_default=True, help="Seconds until it expires.")
+@click.option("--key", default="", help="The wish's key (jti); a paid key is set up once.")
+def token(file: str, service: str, tenant: str, subject: str, rung: int, life: int, key: str) -> None:
+    """Sign an access token with the first access key of the settings in FILE, for trying things out."""
+    import time
+
+    from mintmast.config import ConfigError, load
+    from mintmast.fronts.tokens import Keys, TokenError
+
+    try:
+        settings = load(file)
+        jwk = settings["tokens"]["access"][0]
+        claims: dict[str, Any] = {
+            "aud": settings["tokens"]["audience"], "sub": subject, "tenant": tenant, "class": service,
+            "rung": rung, "exp": int(time.time()) + life,
+        }  # fmt: skip
+        if key:
+            claims["jti"] = key
+        click.echo(Keys([jwk]).sign(jwk["kid"], claims))
+    except ConfigError as error:
+        _bad(error.errors)
+    except (TokenError, TypeError, ValueError) as error:
+        _bad([f"{file}: {error}"])
+
+
+@main.command()
+@click.argument("url")
+@click.option("--token", default="", help="Access token, sent as a bearer token.")
+@click.option("--wait", type=float, default=5.0, show_default=True, help="Seconds to wait for an answer.")
+@click.option("--most", type=float, default=60.0, show_default=True, help="Seconds of media to play at most.")
+@click.option("--json", "as_json", is_flag=True, help="Print the report as JSON.")
+def play(url: str, token: str, wait: float, most: float, as_json: bool) -> None:
+    """Play the manifest at URL as a player does, and report start time, rungs and stalls."""
+    from urllib.parse import urlsplit
+
+    from mintmast.http.client import ClientLimits, HttpClient
+    from mintmast.loop.real import SelectorLoop
+    from mintmast.player import Player, Report
+
+    try:
+        parts = urlsplit(url)
+        port = parts.port
+    except ValueError as error:
+        _bad([f"{url}: {error}"])
+        return
+    if parts.scheme != "http" or not parts.hostname or port == 0:
+        _bad([f"{url}: an http address with a host is needed"])
+    loop = SelectorLoop(lambda text: click.echo(text, err=True))
+    reports: list[Report] = []
+
+    def done(report: Report) -> None:
+        reports.append(report)
+        loop.stop()
+
+    headers = [("Authorization", f"Bearer {token}")] if token else []
+    client = HttpClient(loop, ClientLimits(connect_time=2_000_000))
+    Player(loop, client, url, headers, int(wait * 1e6), done, most=most)
+    loop.run()
+    report = reports[0]
+    if as_json:
+        click.echo(json.dumps(report.as_dict()))
+    elif report.status == 200:
+        rungs = ", ".join(f"{name} {seconds:.0f} s" for name, seconds in sorted(report.rungs.items()))
+        click.echo(
+            f"played {report.played_s:.1f} s at {report.host}, answered in {report.answer_s * 1000:.0f} ms,"
+            f" first picture after {(report.start_s or 0) * 1000:.0f} ms, {rungs},"
+            f" {report.stalls} stalls of {report.stalled_s:.1f} s; {report.reason}"
+        )
+    else:
+        click.echo(f"no session: {report.status or ''} {report.reason}")
+    sys.exit(0 if report.whole else 1)
+
+
+@main.command()
+@click.argument("name")
+@click.option("--seed", type=int, default=1, show_default=True, help="First seed.")
+@click.option(
+    "--seeds", type=click.IntRange(1, 100_000), default=1, show_default=True, help="How many seeds."
+)
+@click.option("--net", type=click.Choice(["loopback", "memory"]), default="memory", show_default=True)
+@click.option("--jobs", type=click.IntRange(1, 64), default=1, show_default=True, help="Days played at once.")
+@click.option("--mutate", default=None, help="Build a named fault into the gateway; the drill must fail.")
+@click.option("--json", "as_json", is_flag=True, help="Print a JSON report a line.")
+def drill(name: str, seed: int, seeds: int, net: str, jobs: int, mutate: str | None, as_json: bool) -> None:
+    """Play the scripted day NAME and check the rules from what passed on the sockets."""
+    from mintmast.cli.drill import drill as run
+
+    sys.exit(run(name, seed, seeds, net, jobs, mutate, as_json))
+
+
+@main.command()
+@click.option("--seconds", type=float, default=6.0, show_default=True, help="Length of the clip.")
+def demo(seconds: float) -> None:
+    """Start a gateway and stand-in hosts on loopback, play a session to its end, and say what was seen."""
+    from mintmast.cli.demo import demo as run
+
+    sys.exit(run(seconds))
--- /dev/null
+++ b/mintmast/cli/serve.py
@@ -0,0 +1,40 @@
+"""`mintmast serve`: the gateway on real sockets."""
+
+from __future__ import annotations
+
+import signal
+import sys
+
+from mintmast.config import ConfigError, load
+from mintmast.fronts.tokens import TokenError
+from mintmast.gateway import Gateway
+from mintmast.loop.real import SelectorLoop
+from mintmast.telemetry import line_writer, open_log
+
+
+def serve(path: str, table: dict | None = None) -> int:
+    """Run until SIGTERM or SIGINT; `table` replaces the outcome table in drills of mutants."""
+    try:
+        config = load(path)
+        sink = open_log(config["telemetry"]["log"])
+    except ConfigError as error:
+        for line in error.errors:
+            print(f"mintmast: {line}", file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"mintmast: telemetry/log: {error}", file=sys.stderr)
+        return 2
+    loop = SelectorLoop()
+    say = line_writer(sink, loop.wall, gateway=config["gateway"])
+    loop._on_error = lambda text: say("error", text=text)
+    try:
+        gateway = Gateway(loop, config, None, say, table)
+    except (TokenError, OSError) as error:
+        print(f"mintmast: {error}", file=sys.stderr)
+        return 2
+    loop.on_turn = lambda took: gateway.metrics.turn_time.observe(took / 1e6)
+    loop.stop_on_signals(signal.SIGTERM, signal.SIGINT)
+    loop.run()
+    gateway.close()
+    say("stopped", longest_turn_ms=loop.longest_turn / 1000, turns=loop.turns)
+    return 0
--- /dev/null
+++ b/mintmast/config/load.py
@@ -0,0 +1,229 @@
+"""Reading settings: schema first, then sense; every error names its place, the value and what is allowed."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from jsonschema import Draft202012Validator
+
+from mintmast import interface as api
+from mintmast.config.schema import SCHEMA
+
+MS = 1000
+# a value longer than this is cut where an error shows it
+_SHOWN = 80
+
+
+class ConfigError(Exception):
+    """The settings are wrong; `errors` holds one line for each place."""
+
+    def __init__(self, errors: list[str]) -> None:
+        super().__init__("; ".join(errors))
+        self.errors = errors
+
+
+@dataclass(slots=True, frozen=True)
+class Title:
+    """A title of the catalogue; `number` is what the module knows it by."""
+
+    number: int
+    name: str
+    home: int
+    copies: int
+    seconds: float
+    segment_s: float
+    live: bool
+
+
+@dataclass(slots=True)
+class Config:
+    """Checked settings: the module's, and the rest as read, defaults filled in."""
+
+    raw: dict[str, Any]
+    settings: api.Settings
+    titles: dict[str, Title]
+    classes: dict[str, int]
+    tenants: dict[str, int]
+    entries: tuple[api.ListEntry, ...]
+
+    def __getitem__(self, key: str) -> Any:
+        """Give a part of the settings as read."""
+        return self.raw[key]
+
+
+def load(path: str | Path) -> Config:
+    """Read a file. Raises ConfigError."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigError([f"{path}: cannot be read: {error}"]) from None
+    try:
+        raw = json.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise ConfigError([f"{path}: not JSON: {error}"]) from None
+    return parse(raw)
+
+
+def parse(raw: Any) -> Config:
+    """Check settings and build what the parts need. Raises ConfigError with all errors."""
+    errors = [_line(error) for error in Draft202012Validator(SCHEMA).iter_errors(raw)]
+    if errors:
+        raise ConfigError(sorted(errors))
+    raw = _filled(SCHEMA, raw)
+    errors = list(_sense(raw))
+    if errors:
+        raise ConfigError(errors)
+    titles = {
+        name: Title(
+            number, name, each["home"], each["copies"], each["seconds"], each["segment_s"], each["live"]
+        )
+        for number, (name, each) in enumerate(sorted(raw["titles"].items()))
+    }
+    return Config(
+        raw,
+        _settings(raw),
+        titles,
+        {each["name"]: place for place, each in enumerate(raw["classes"])},
+        {each["name"]: place for place, each in enumerate(raw["tenants"])},
+        tuple(_entry(each) for each in raw["servers"]),
+    )
+
+
+def _line(error: Any) -> str:
+    place = "/".join(str(part) for part in error.absolute_path) or "(top)"
+    if error.validator == "additionalProperties":
+        known = set(error.schema.get("properties", {}))
+        unknown = ", ".join(sorted(set(error.instance) - known))
+        return f"{place}: unknown key {unknown}; allowed: {', '.join(sorted(known))}"
+    if error.validator == "required":
+        return f"{place}: {error.message}"
+    value = json.dumps(error.instance)
+    value = value if len(value) <= _SHOWN else value[:_SHOWN] + "..."
+    allowed = json.dumps(error.validator_value)
+    allowed = allowed if len(allowed) <= 3 * _SHOWN else allowed[: 3 * _SHOWN] + "..."
+    return f"{place}: {value} is not allowed; {error.validator}: {allowed}"
+
+
+def _filled(schema: dict[str, Any], value: Any) -> Any:
+    """Give the value with the schema's defaults in it."""
+    if schema.get("type") == "object" and isinstance(value, dict):
+        known = schema.get("properties", {})
+        filled = {key: _filled(known.get(key, {}), each) for key, each in value.items()}
+        others = schema.get("additionalProperties")
+        if isinstance(others, dict):
+            filled = {key: _filled(others, each) for key, each in value.items()}
+        for key, part in known.items():
+            if key in filled:
+                continue
+            if "default" in part:
+                filled[key] = part["default"]
+            elif part.get("type") == "array":
+                filled[key] = []
+            elif part.get("type") == "object" and not part.get("required"):
+                filled[key] = _filled(part, {})
+        return filled
+    if schema.get("type") == "array" and isinstance(value, list):
+        return [_filled(schema["items"], each) for each in value]
+    return value
+
+
+def _sense(raw: dict[str, Any]):
+    """Yield what the schema cannot say."""
+    rungs = [each["kb"] for each in raw["ladder"]]
+    if rungs != sorted(rungs):
+        yield f"ladder: rates {rungs} are not in rising order"
+    for part in ("classes", "tenants"):
+        names = [each["name"] for each in raw[part]]
+        for name in sorted({name for name in names if names.count(name) > 1}):
+            yield f"{part}: name {name} stands twice"
+    for place, each in enumerate(raw["classes"]):
+        if each["floor"] >= len(rungs) or each["floor"] > each["top"]:
+            yield f"classes/{place}/floor: {each['floor']} is not a rung from 0 to the class's top"
+        if each["deadline_ms"] <= raw["limits"]["answer_margin_ms"]:
+            yield f"classes/{place}/deadline_ms: {each['deadline_ms']} is not over the answer margin"
+    seen: set[str] = set()
+    cells = raw["fleet"]["cells"]
+    for place, each in enumerate(raw["servers"]):
+        if each["address"] in seen:
+            yield f"servers/{place}/address: {each['address']} stands twice"
+        seen.add(each["address"])
+        if int(each["address"].rpartition(":")[2]) > 65_535:
+            yield f"servers/{place}/address: {each['address']} has no such port"
+        if cells and each["cell"] >= cells:
+            yield f"servers/{place}/cell: {each['cell']} is not under fleet.cells, {cells}"
+        if each["kind"] >= len(raw["fleet"]["kinds"]):
+            yield f"servers/{place}/kind: {each['kind']} is not a place in fleet.kinds"
+    if raw["instance"] >= raw["instances"]:
+        yield f"instance: {raw['instance']} is not under instances, {raw['instances']}"
+    for part in ("access", "session"):
+        kids = [each["kid"] for each in raw["tokens"][part]]
+        if len(kids) != len(set(kids)):
+            yield f"tokens/{part}: two keys of one kid"
+
+
+def _entry(each: dict[str, Any]) -> api.ListEntry:
+    return api.ListEntry(
+        each["address"].encode(),
+        api.ServerState[each["state"].upper()],
+        0,
+        each["cell"],
+        each["zone"],
+        each["kind"],
+        each["weight"],
+    )
+
+
+def _settings(raw: dict[str, Any]) -> api.Settings:
+    fleet, rules, budget = raw["fleet"], raw["rules"], raw["rules"]["budget"]
+    return api.Settings(
+        instance=raw["instance"],
+        instances=raw["instances"],
+        zone=raw["zone"],
+        classes=tuple(
+            api.ServiceClass(
+                effect=api.Effect[each["effect"].upper()],
+                aim=each["aim_ms"] * MS,
+                deadline=each["deadline_ms"] * MS,
+                worth=each["worth"],
+                scale=each["scale"],
+                floor=each["floor"],
+                top=min(each["top"], len(raw["ladder"]) - 1),
+                seats=each["seats"],
+            )
+            for each in raw["classes"]
+        ),
+        tenants=tuple(api.Tenant(each["quota_per_s"], each["share"]) for each in raw["tenants"]),
+        over_share_worth=raw["over_share_worth"],
+        rung_kb=tuple(each["kb"] for each in raw["ladder"]),
+        rung_worth=tuple(each["worth"] for each in raw["ladder"]),
+        links_kb=fleet["links_kb"],
+        weight_kb=fleet["weight_kb"],
+        weights_told=fleet["weights_told"],
+        kind_streams=tuple(each["streams"] for each in fleet["kinds"]),
+        cells=fleet["cells"],
+        racks=fleet["racks"],
+        uplink_kb=fleet["uplink_kb"],
+        guard=fleet["guard"],
+        shared_adds=1.0,
+        live=tuple(False for _ in raw["classes"]),
+        stall=7.0,
+        change_costs_s=0.5,
+        note_age=fleet["note_age_ms"] * MS,
+        notes_every=fleet["notes_every_ms"] * MS,
+        drain_grace=rules["drain_grace_ms"] * MS,
+        cold=rules["cold_ms"] * MS,
+        cold_from=rules["cold_from"],
+        fall=rules["fall_ms"] * MS,
+        fall_multiple=rules["fall_multiple"],
+        budget=api.AttemptBudget(budget["span_ms"] * MS, budget["free"], budget["ratio"]) if budget else None,
+        max_attempts=rules["max_attempts"],
+        max_retry_after=rules["retry_advice_ms"] * MS,
+        may_advise=rules["retry_advice_ms"] > 0,
+        may_cancel=True,
+        must_subscribe=False,
+        load_fields=tuple(fleet["reports"]),
+        cross_zone_cost=rules["cross_zone_cost"],
+    )
--- /dev/null
+++ b/mintmast/core/ports.py
@@ -0,0 +1,96 @@
+"""The core's interfaces: what a host adapter, a source of the list and a front see of it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from mintmast.decisions import book
+from mintmast.decisions.outcomes import Evidence
+from mintmast.interface import ListEntry, ListKind, NoteKind
+
+
+@dataclass(slots=True, frozen=True)
+class Order:
+    """A set-up as a host is asked for it; rates in kB a second, times in microseconds."""
+
+    session: str
+    attempt: int
+    server: bytes
+    title: str
+    rung: int
+    kb: float
+    best_rung: int
+    epoch: int
+    lease: int
+    paid: bool
+    key: str
+    until: int  # time of the loop's clock at which the attempt is given up
+
+
+class HostEvents(Protocol):
+    """What a host tells by itself, as the core hears it."""
+
+    def hello(self, server: bytes, process: str, age: int | None, drains: bool) -> None:
+        """Take the first word on a new line; `age` in microseconds."""
+
+    def lost(self, server: bytes, refused: bool) -> None:
+        """Take the end of a line, or a try in vain."""
+
+    def drain(self, server: bytes, drains: bool) -> None:
+        """Take a change of the drain state."""
+
+    def note(self, server: bytes, kind: NoteKind, value: float) -> None:
+        """Take a share delivered or a use."""
+
+    def ended(self, server: bytes, session: str) -> None:
+        """Take the end of a session."""
+
+
+class HostPort(Protocol):
+    """What speaks to media hosts. Every `done` is called exactly once, never before the call returns."""
+
+    def attach(self, events: HostEvents) -> None:
+        """Tell who hears what hosts say."""
+
+    def set_up(self, order: Order, done: Callable[[Evidence, tuple[float, ...]], None]) -> None:
+        """Ask a host for a session; by `order.until` at the latest the evidence is told."""
+
+    def call_off(self, session: str, attempt: int) -> None:
+        """Break off a set-up; its evidence is told as called off."""
+
+    def rung(self, server: bytes, session: str, epoch: int, rung: int, kb: float) -> None:
+        """Tell a host the rung of a session."""
+
+    def end(self, server: bytes, session: str, epoch: int, until: int, done: Callable[[bool], None]) -> None:
+        """End a session's epochs up to this one; `done` hears whether that is sure."""
+
+    def renew(
+        self,
+        server: bytes,
+        sessions: tuple[tuple[str, int], ...],
+        lease: int,
+        until: int,
+        done: Callable[[bool, tuple[str, ...], tuple[float, ...]], None],
+    ) -> None:
+        """Renew leases; `done` hears whether it was answered, which are unknown there, and the load."""
+
+    def watch(self, server: bytes) -> None:
+        """Open the line on which a host tells what happens; its end is told by `lost`."""
+
+    def unwatch(self, server: bytes) -> None:
+        """Close that line; nothing more is told of it."""
+
+
+class ListSource(Protocol):
+    """Where the list of servers comes from."""
+
+    def start(self, tell: Callable[[ListKind, int, tuple[ListEntry, ...]], None]) -> None:
+        """Begin; `tell` hears each version, whole or as changes."""
+
+    def refresh(self) -> None:
+        """Tell the whole list once more."""
+
+
+AnswerTo = Callable[[book.Give], None]
--- /dev/null
+++ b/mintmast/core/service.py
@@ -0,0 +1,223 @@
+"""The core: feeds the session book what happens and carries out its commands. No choice is made here."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from mintmast import interface as api
+from mintmast.core.ports import AnswerTo, HostPort, ListSource, Order
+from mintmast.decisions import book
+from mintmast.decisions.outcomes import Evidence
+from mintmast.loop import Loop
+
+Line = Callable[..., None]
+# epochs for each millisecond of a start number: a gateway that restarts begins above every epoch it ever
+# gave, as long as it sends fewer set-ups a millisecond over its life than this
+EPOCHS_A_MS = 1 << 10
+
+
+@dataclass(slots=True)
+class _Asked:
+    answer: AnswerTo
+    at: int
+    attempts: int = 0
+
+
+class Core:
+    """One gateway's sessions. `decide` is the module's `handle`; `title_of` names a title's number.
+
+    `say(event, **fields)` takes log lines; `stats` counts what the metrics show.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        settings: api.Settings,
+        decide: Callable[[int, api.Event], list[api.Action]],
+        hosts: HostPort,
+        source: ListSource,
+        title_of: Callable[[int], str],
+        lease: int,
+        gateway: str,
+        start: int,
+        seed: int,
+        say: Line = lambda event, **fields: None,
+        table: dict | None = None,
+    ) -> None:
+        self.loop, self.settings, self.hosts, self.source = loop, settings, hosts, source
+        self.lease, self.gateway, self.start_number, self.say = lease, gateway, start, say
+        self._title_of = title_of
+        self._random = random.Random(seed)
+        self.book = book.SessionBook(settings, decide, lease, start * EPOCHS_A_MS, table)
+        self._asked: dict[int, _Asked] = {}
+        self._count = 0
+        self.stats: dict[str, int] = {
+            "asked": 0,
+            "plays": 0,
+            "refused": 0,
+            "failed": 0,
+            "gone": 0,
+            "set_ups": 0,
+        }
+        self._carry: dict[type, Callable] = {
+            book.SendSetUp: self._set_up,
+            book.CallOff: lambda c: hosts.call_off(self.name(c.session), c.attempt),
+            book.SendRung: self._rung,
+            book.SendEnd: self._end,
+            book.SendRenew: self._renew,
+            book.Watch: lambda c: hosts.watch(c.server),
+            book.Unwatch: lambda c: hosts.unwatch(c.server),
+            book.Give: self._give,
+            book.Wake: lambda c: loop.call_at(c.at, self._take, book.Due(c.token)),
+            book.AskList: lambda c: source.refresh(),
+            book.Say: lambda c: self.say(c.event, **dict(c.fields)),
+        }
+        hosts.attach(self)
+
+    def begin(self) -> None:
+        """Start: hear the list, open the lines to hosts."""
+        self._do(self.book.start(self.loop.now()))
+        self.source.start(self._news)
+
+    def name(self, session: int) -> str:
+        """Give a session's name on wires: unique over gateways and their restarts."""
+        return f"{self.gateway}-{self.start_number:x}-{session}"
+
+    def number(self, name: str) -> int:
+        """Give the number of a session of this life; 0 for any other name."""
+        prefix, _, number = name.rpartition("-")
+        mine = prefix == f"{self.gateway}-{self.start_number:x}"
+        return int(number) if mine and number.isascii() and number.isdigit() and len(number) < 19 else 0
+
+    # Fronts
+
+    def ask(self, ask: book.Ask, answer: AnswerTo) -> int:
+        """Take a viewer's ask, whose number is filled in and given back; `answer` is called once."""
+        self._count += 1
+        self.stats["asked"] += 1
+        number = self._count
+        self._asked[number] = _Asked(answer, self.loop.now())
+        self._take(replace(ask, ask=number))
+        return number
+
+    def gone(self, ask: int) -> None:
+        """Take note that nobody waits for the answer any more."""
+        if self._asked.pop(ask, None) is not None:
+            self.stats["gone"] += 1
+            self._take(book.AskGone(ask))
+
+    # Hosts
+
+    def hello(self, server: bytes, process: str, age: int | None, drains: bool) -> None:
+        """Take a host's first word."""
+        self.say("host_up", host=server.decode(), process=process, age=age, drains=drains)
+        self._take(book.HostHello(server, process, age, drains))
+
+    def lost(self, server: bytes, refused: bool) -> None:
+        """Take the end of a line."""
+        self._take(book.HostLost(server, self._random.random(), refused))
+
+    def drain(self, server: bytes, drains: bool) -> None:
+        """Take a change of the drain state."""
+        self.say("host_drains", host=server.decode(), drains=drains)
+        self._take(book.HostDrain(server, drains))
+
+    def note(self, server: bytes, kind: api.NoteKind, value: float) -> None:
+        """Take a share delivered or a use."""
+        self._take(book.HostNote(server, kind, value))
+
+    def ended(self, server: bytes, session: str) -> None:
+        """Take the end of a session."""
+        self._take(book.SessionEnded(server, self.number(session)))
+
+    # Commands
+
+    def _news(self, kind: api.ListKind, version: int, entries: tuple[api.ListEntry, ...]) -> None:
+        self._take(book.ListNews(kind, version, entries))
+
+    def _take(self, event: object) -> None:
+        self._do(self.book.take(self.loop.now(), event))
+
+    def _do(self, commands: list) -> None:
+        for command in commands:
+            self._carry[type(command)](command)
+
+    def _set_up(self, command: book.SendSetUp) -> None:
+        ask = command.ask
+        service = self.settings.classes[ask.service]
+        self.stats["set_ups"] += 1
+        asked = self._asked.get(ask.ask)
+        if asked is not None:
+            asked.attempts += 1
+        order = Order(
+            self.name(command.session),
+            command.attempt,
+            command.server,
+            self._title_of(ask.title),
+            command.rung,
+            self.settings.rung_kb[command.rung] * service.scale,
+            min(ask.best_rung, service.top),
+            command.epoch,
+            self.lease,
+            service.effect is api.Effect.SINGLE_SHOT,
+            ask.key,
+            command.until,
+        )
+
+        sent = self.loop.now()
+
+        def done(evidence: Evidence, load: tuple[float, ...]) -> None:
+            self.say(
+                "attempt",
+                session=order.session,
+                attempt=command.attempt,
+                host=command.server.decode(),
+                evidence=evidence.value,
+                took_ms=(self.loop.now() - sent) / 1000,
+            )
+            self._take(book.SetUpEnded(command.session, command.attempt, evidence, load))
+
+        self.hosts.set_up(order, done)
+
+    def _rung(self, command: book.SendRung) -> None:
+        session = self.book.sessions.get(command.session)
+        scale = self.settings.classes[session.ask.service].scale if session is not None else 1.0
+        kb = self.settings.rung_kb[command.rung] * scale
+        self.hosts.rung(command.server, self.name(command.session), command.epoch, command.rung, kb)
+
+    def _end(self, command: book.SendEnd) -> None:
+        def done(sure: bool) -> None:
+            self._take(book.EndEnded(command.session, command.server, sure))
+
+        self.hosts.end(command.server, self.name(command.session), command.epoch, command.until, done)
+
+    def _renew(self, command: book.SendRenew) -> None:
+        sent = self.loop.now()
+        named = tuple((self.name(session), epoch) for session, epoch in command.sessions)
+        numbers = tuple(session for session, _ in command.sessions)
+
+        def done(answered: bool, unknown: tuple[str, ...], load: tuple[float, ...]) -> None:
+            gone = tuple(self.number(each) for each in unknown)
+            self._take(book.Renewed(command.server, sent, answered, numbers, gone, load))
+
+        self.hosts.renew(command.server, named, self.lease, command.until, done)
+
+    def _give(self, command: book.Give) -> None:
+        asked = self._asked.pop(command.ask, None)
+        if asked is None:
+            return
+        self.stats[command.verdict.value] += 1
+        self.say(
+            "request",
+            ask=command.ask,
+            session=self.name(command.session) if command.session else None,
+            verdict=command.verdict.value,
+            reason=command.reason,
+            host=command.server.decode(),
+            rung=command.rung,
+            attempts=asked.attempts,
+            took_ms=(self.loop.now() - asked.at) / 1000,
+        )
+        asked.answer(command)
--- /dev/null
+++ b/mintmast/decisions/book.py
@@ -0,0 +1,695 @@
+"""The session book: between viewers' asks, hosts' replies and the module's events and actions.
+
+Pure: `take(now, input)` gives the commands that follow. It stands between the module, which decides
+placement, and the network, and keeps what neither can: one answer for each ask, one attempt out for a
+session, an end for every session that a host may hold and nobody wants, and the lease of each one that plays.
+
+A session is under way (an attempt is out), plays, or is over. `asks` of one key share a session: a viewer who
+asks twice is set up once. Of paid sessions that may have run the key is kept after the end, and is not set up
+again.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from mintmast import interface as api
+from mintmast.decisions.hostwatch import HostWatch
+from mintmast.decisions.lease import Lease, renew_every
+from mintmast.decisions.outcomes import TABLE, Evidence, may_have_run
+from mintmast.interface import Effect, ListKind, Outcome
+
+SECOND = 1_000_000
+# µs after a session's deadline; the book answers by itself if its attempt's end was never told: a hole in the
+# network code must not cost a viewer his answer, and it must not come before the adapter's own timer
+BACKSTOP = 5_000
+# µs between tries to end a session at a host that does not confirm, until its lease has run out anyway
+END_AGAIN = SECOND // 2
+# µs for one try: a host that cannot say yes in this time is asked again
+END_TIME = 2 * SECOND
+# µs for which the key of a paid session that may have run is kept: past any viewer's second try, within what
+# a gateway can hold (a day at 6 a second is 500,000 keys; an hour is 20,000)
+KEY_KEPT = 3600 * SECOND
+
+
+class Verdict(Enum):
+    """The one answer to an ask."""
+
+    PLAYS = "plays"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+# Inputs
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """A viewer asks; he waits `budget` µs, and `key` stays with him over his tries ("" for none)."""
+
+    ask: int
+    service: int
+    tenant: int
+    title: int
+    home_cell: int
+    copies: int
+    best_rung: int
+    budget: int
+    key: str = ""
+    length: int = 0
+    moved: bool = False
+    again: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class AskGone:
+    """The viewer waits no more."""
+
+    ask: int
+
+
+@dataclass(slots=True, frozen=True)
+class SetUpEnded:
+    """What was seen of a set-up; once for each sent."""
+
+    session: int
+    attempt: int
+    evidence: Evidence
+    load: tuple[float, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class EndEnded:
+    """A try to end a session at a host is over; `sure` says that the host holds it no more."""
+
+    session: int
+    server: bytes
+    sure: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Renewed:
+    """A renewal's call is over; `unknown` are those that the host does not hold."""
+
+    server: bytes
+    sent: int
+    answered: bool
+    sessions: tuple[int, ...]
+    unknown: tuple[int, ...] = ()
+    load: tuple[float, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class SessionEnded:
+    """A host tells that a session is over there."""
+
+    server: bytes
+    session: int
+
+
+@dataclass(slots=True, frozen=True)
+class HostHello:
+    """The line to a host stands; `age` is how long its process has run in µs, None for not told."""
+
+    server: bytes
+    process: str
+    age: int | None
+    drains: bool
+
+
+@dataclass(slots=True, frozen=True)
+class HostLost:
+    """The line to a host broke or was not to be had; `draw` is a random number from 0 to 1."""
+
+    server: bytes
+    draw: float
+    refused: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class HostDrain:
+    """A host tells that it drains, or drains no more."""
+
+    server: bytes
+    drains: bool
+
+
+@dataclass(slots=True, frozen=True)
+class HostNote:
+    """A host tells a share delivered or the use of its link or uplink."""
+
+    server: bytes
+    kind: api.NoteKind
+    value: float
+
+
+@dataclass(slots=True, frozen=True)
+class ListNews:
+    """News from the list of servers."""
+
+    kind: ListKind
+    version: int
+    entries: tuple[api.ListEntry, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Due:
+    """A `Wake` has come."""
+
+    token: tuple
+
+
+# Commands
+
+
+@dataclass(slots=True, frozen=True)
+class SendSetUp:
+    """Set a session up; its end is told by `SetUpEnded`, by `until` at the latest."""
+
+    session: int
+    attempt: int
+    server: bytes
+    rung: int
+    epoch: int
+    until: int
+    ask: Ask
+
+
+@dataclass(slots=True, frozen=True)
+class CallOff:
+    """Break off a set-up; no `SetUpEnded` need follow."""
+
+    session: int
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class SendRung:
+    """Tell a host the rung of a session that plays."""
+
+    session: int
+    server: bytes
+    rung: int
+    epoch: int
+
+
+@dataclass(slots=True, frozen=True)
+class SendEnd:
+    """End a session at a host, with all its epochs up to this one, also those that have not arrived yet."""
+
+    session: int
+    server: bytes
+    epoch: int
+    until: int
+
+
+@dataclass(slots=True, frozen=True)
+class SendRenew:
+    """Renew the leases of these (session, epoch) at a host."""
+
+    server: bytes
+    sessions: tuple[tuple[int, int], ...]
+    until: int
+
+
+@dataclass(slots=True, frozen=True)
+class Watch:
+    """Open the line to a host."""
+
+    server: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Unwatch:
+    """Close the line to a host that is gone."""
+
+    server: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Give:
+    """Answer an ask. `advice` is in µs; `reason` a short word for logs and problem details."""
+
+    ask: int
+    verdict: Verdict
+    session: int = 0
+    server: bytes = b""
+    rung: int = 0
+    epoch: int = 0
+    advice: int = 0
+    reason: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Wake:
+    """Hand in `Due(token)` at `at`."""
+
+    at: int
+    token: tuple
+
+
+@dataclass(slots=True, frozen=True)
+class AskList:
+    """Ask the sources of the list for all of it, or (with `standing`) for its changes."""
+
+    standing: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Say:
+    """A line for the log."""
+
+    event: str
+    fields: tuple[tuple[str, object], ...] = ()
+
+
+Command = object
+
+
+@dataclass(slots=True)
+class _Session:
+    number: int
+    ask: Ask
+    deadline: int
+    effect: Effect
+    waiting: dict[int, int] = field(default_factory=dict)  # ask: its deadline
+    server: bytes | None = None
+    rung: int = 0
+    epoch: int = 0
+    attempts: int = 0
+    out: bool = False
+    sent_at: int = 0
+    playing: bool = False
+    may_have_run: bool = False
+    lease: Lease | None = None
+
+
+class SessionBook:
+    """The book of one gateway. `decide` is the module's `handle`; `lease` the length of a lease in µs."""
+
+    def __init__(
+        self,
+        settings: api.Settings,
+        decide: Callable[[int, api.Event], list[api.Action]],
+        lease: int,
+        epoch_base: int = 0,
+        table: dict | None = None,
+    ) -> None:
+        self.settings, self._decide, self._lease = settings, decide, lease
+        self._epoch = epoch_base
+        self._table = table or TABLE
+        self.watch = HostWatch()
+        self.sessions: dict[int, _Session] = {}
+        self.keys: dict[str, int] = {}  # key: the session under way or playing
+        self.spent: dict[str, int] = {}  # key of a paid session over that may have run: until when
+        self._spent_order: deque[tuple[int, str]] = deque()
+        self._asks: dict[int, _Session] = {}
+        self._at: dict[bytes, dict[int, _Session]] = {}
+        self._ending: dict[tuple[int, bytes], tuple[int, int]] = {}  # epoch, when its lease is surely over
+        self._renewing: set[bytes] = set()
+        self._number = self._version = 0
+        self._watched: set[bytes] = set()
+        self._out: list[Command] = []
+        self.late = 0  # sessions found running after their attempt was given up
+        self.handlers: dict[type, Callable] = {
+            Ask: self._ask,
+            AskGone: self._ask_gone,
+            SetUpEnded: self._set_up_ended,
+            EndEnded: self._end_ended,
+            Renewed: self._renewed,
+            SessionEnded: self._session_ended,
+            HostHello: self._hello,
+            HostLost: self._host_lost,
+            HostDrain: lambda now, e: self._entries(now, self.watch.drain(e.server, e.drains)),
+            HostNote: self._note,
+            ListNews: self._list,
+            Due: self._due,
+        }
+
+    def start(self, now: int) -> list[Command]:
+        """Begin; the first call."""
+        self._out = []
+        self._feed(now, api.Started())
+        return self._out
+
+    def take(self, now: int, event: object) -> list[Command]:
+        """Take one input at time `now` and give the commands that follow."""
+        self._out = []
+        self.handlers[type(event)](now, event)
+        return self._out
+
+    @property
+    def held(self) -> int:
+        """Sessions under way or playing."""
+        return len(self.sessions)
+
+    # Viewers
+
+    def _ask(self, now: int, ask: Ask) -> None:
+        session = self.sessions.get(self.keys.get(ask.key, 0)) if ask.key else None
+        if session is not None and session.ask.title == ask.title and session.ask.service == ask.service:
+            if session.playing and session.server is not None:
+                self._give(ask.ask, session, Verdict.PLAYS)
+                return
+            if session.out and session.waiting:
+                self._wait(now, session, ask)
+                return
+        if ask.key in self.spent or (session is not None and session.effect is not Effect.FREE):
+            # The key of a paid session that may have run, or runs for another title: not a second charge.
+            self._out.append(Give(ask.ask, Verdict.FAILED, reason="this key has been spent"))
+            return
+        self._number += 1
+        effect = self.settings.classes[ask.service].effect
+        session = _Session(self._number, ask, now + ask.budget, effect)
+        self.sessions[session.number] = session
+        if ask.key:
+            self.keys[ask.key] = session.number
+        self._wait(now, session, ask)
+        self._out.append(Wake(session.deadline + BACKSTOP, ("late", session.number)))
+        request = api.SessionRequest(
+            session.number,
+            ask.service,
+            ask.tenant,
+            ask.title,
+            ask.budget,
+            ask.home_cell,
+            ask.copies,
+            ask.best_rung,
+            ask.length,
+            ask.moved,
+            ask.again,
+        )
+        self._feed(now, request)
+        if session.waiting and not session.out:  # the module must have sent it or ended it: see rule 1
+            self._out.append(Say("unanswered", (("session", session.number),)))
+            self._close(now, session, Verdict.FAILED, reason="undecided")
+
+    def _wait(self, now: int, session: _Session, ask: Ask) -> None:
+        until = now + ask.budget
+        session.waiting[ask.ask] = until
+        self._asks[ask.ask] = session
+        if ask is not session.ask:
+            self._out.append(Wake(until, ("ask", ask.ask)))
+
+    def _ask_gone(self, now: int, event: AskGone) -> None:
+        session = self._asks.pop(event.ask, None)
+        if session is None:
+            return
+        session.waiting.pop(event.ask, None)
+        if not session.waiting and session.out:
+            self._feed(now, api.ViewerGone(session.number))
+
+    def _give(self, ask: int, session: _Session, verdict: Verdict, advice: int = 0, reason: str = "") -> None:
+        self._asks.pop(ask, None)
+        session.waiting.pop(ask, None)
+        server = session.server or b""
+        self._out.append(
+            Give(ask, verdict, session.number, server, session.rung, session.epoch, advice, reason)
+        )
+
+    def _give_all(self, session: _Session, verdict: Verdict, advice: int = 0, reason: str = "") -> None:
+        for ask in list(session.waiting):
+            self._give(ask, session, verdict, advice, reason)
+
+    def _close(
+        self, now: int, session: _Session, verdict: Verdict | None = None, advice: int = 0, reason: str = ""
+    ) -> None:
+        """End a session: answer those who wait, forget it, keep the key that must not run again."""
+        if verdict is not None:
+            self._give_all(session, verdict, advice, reason)
+        self.sessions.pop(session.number, None)
+        self._leave(session)
+        key = session.ask.key
+        if key and self.keys.get(key) == session.number:
+            del self.keys[key]
+            if session.may_have_run and session.effect is not Effect.FREE:
+                self.spent[key] = now + KEY_KEPT
+                self._spent_order.append((now + KEY_KEPT, key))
+        while self._spent_order and self._spent_order[0][0] <= now:
+            until, key = self._spent_order.popleft()
+            if self.spent.get(key) == until:
+                del self.spent[key]
+
+    # The module
+
+    def _feed(self, now: int, event: api.Event) -> None:
+        """Hand an event to the module and carry out its actions; what they cause is handed in after."""
+        events = deque([event])
+        while events:
+            for action in self._decide(now, events.popleft()):
+                more = self._act(now, action)
+                if more is not None:
+                    events.append(more)
+
+    def _act(self, now: int, action: api.Action) -> api.Event | None:
+        match action:
+            case api.SetUp(request, server, timeout_at):
+                self._send(now, self.sessions[request], server, timeout_at)
+            case api.SetRung(request, rung):
+                session = self.sessions.get(request)
+                if session is not None:
+                    session.rung = rung
+                    if session.playing and session.server is not None:
+                        self._out.append(SendRung(request, session.server, rung, session.epoch))
+            case api.Refuse(request, advice):
+                session = self.sessions.get(request)
+                if session is not None:
+                    self._close(now, session, Verdict.REFUSED, advice, "no room")
+            case api.Fail(request):
+                session = self.sessions.get(request)
+                if session is not None:
+                    self._close(now, session, Verdict.FAILED, reason="may have run")
+            case api.Cancel(request, attempt):
+                return self._cancel(now, request, attempt)
+            case api.Move(request):
+                session = self.sessions.get(request)
+                if session is not None and session.playing and session.server is not None:
+                    server = session.server
+                    self._end_at(now, session, server)
+                    self._close(now, session)
+                    return api.AttemptEnd(request, session.attempts - 1, server, Outcome.CANCELLED, 0, True)
+            case api.SetTimer(delay, token):
+                self._out.append(Wake(now + delay, ("module", token)))
+            case api.Subscribe(on):
+                if on:
+                    self._out.append(AskList(standing=True))
+            case api.FetchList():
+                self._out.append(AskList())
+            case api.Probe(server):  # not offered: the settings say so, and it is answered as not sent
+                return api.ProbeResult(server, Outcome.NOT_SENT, 0)
+            case api.Log(text):
+                self._out.append(Say("module", (("text", text),)))
+            case _:  # CloseIdle: connections close by themselves when idle. TellPeers: no peers yet
+                pass
+        return None
+
+    # Attempts
+
+    def _send(self, now: int, session: _Session, server: bytes, timeout_at: int) -> None:
+        if session.out:
+            raise AssertionError("a second attempt while one is out")
+        self._epoch += 1
+        session.server, session.epoch, session.out, session.sent_at = server, self._epoch, True, now
+        session.attempts += 1
+        until = min(timeout_at or session.deadline, session.deadline)
+        self._out.append(
+            SendSetUp(
+                session.number, session.attempts - 1, server, session.rung, session.epoch, until, session.ask
+            )
+        )
+
+    def _cancel(self, now: int, request: int, attempt: int) -> api.Event | None:
+        session = self.sessions.get(request)
+        if session is None or not session.out or session.attempts - 1 != attempt or session.server is None:
+            return None
+        server = session.server
+        session.out, session.may_have_run = False, True
+        self._out.append(CallOff(request, attempt))
+        self._end_at(now, session, server)
+        took = now - session.sent_at
+        self._close(now, session)
+        return api.AttemptEnd(request, attempt, server, Outcome.CANCELLED, took, True)
+
+    def _set_up_ended(self, now: int, event: SetUpEnded) -> None:
+        session = self.sessions.get(event.session)
+        if session is None or not session.out or session.attempts - 1 != event.attempt:
+            self.late += event.evidence is Evidence.STARTED
+            return  # given up before: its end at the host is under way since then
+        server = session.server
+        if server is None:
+            return
+        row = self._table[event.evidence]
+        took = now - session.sent_at
+        session.out = False
+        session.may_have_run = session.may_have_run or not row.never_ran
+        if row.outcome is None:
+            self._started(now, session, server, took, event.load)
+            return
+        if may_have_run(event.evidence):
+            self._end_at(now, session, server)
+        over = not session.waiting
+        self._feed(
+            now,
+            api.AttemptEnd(session.number, event.attempt, server, row.outcome, took, over, event.load),
+        )
+        if session.number in self.sessions and not session.out:
+            self._close(now, session, Verdict.FAILED, reason="over")
+
+    def _started(
+        self, now: int, session: _Session, server: bytes, took: int, load: tuple[float, ...]
+    ) -> None:
+        number, attempt = session.number, session.attempts - 1
+        if not session.waiting:  # nobody is left to watch it
+            self._end_at(now, session, server)
+            self._close(now, session)
+            self._feed(now, api.AttemptEnd(number, attempt, server, Outcome.SERVED, took, True, load))
+            return
+        session.playing = True
+        session.lease = Lease(self._lease, session.sent_at, now)
+        at = self._at.setdefault(server, {})
+        at[number] = session
+        if server not in self._renewing:
+            self._renewing.add(server)
+            self._out.append(Wake(now + renew_every(self._lease), ("renew", server)))
+        self._give_all(session, Verdict.PLAYS)
+        self._feed(now, api.Playing(number, attempt, server, took))
+        for value, name in zip(load, self.settings.load_fields, strict=False):
+            kind = {"x0": api.NoteKind.LINK, "x1": api.NoteKind.UPLINK}.get(name)
+            if kind is not None:
+                self._feed(now, api.Note(number, server, kind, value))
+
+    def _leave(self, session: _Session) -> None:
+        if session.server is not None:
+            at = self._at.get(session.server)
+            if at is not None:
+                at.pop(session.number, None)
+                if not at:
+                    del self._at[session.server]
+
+    def _ended(self, now: int, session: _Session, outcome: Outcome, load: tuple[float, ...] = ()) -> None:
+        """Book that a playing session is over at its host."""
+        server, attempt = session.server or b"", session.attempts - 1
+        self._close(now, session)
+        self._feed(now, api.AttemptEnd(session.number, attempt, server, outcome, 0, True, load))
+
+    # Ends and leases
+
+    def _end_at(self, now: int, session: _Session, server: bytes) -> None:
+        """See to it that the host holds the session no more, unless it never could."""
+        over_at = session.lease.over_at if session.lease is not None else Lease(self._lease, now, now).over_at
+        self._ending[session.number, server] = session.epoch, max(over_at, now + self._lease)
+        self._out.append(SendEnd(session.number, server, session.epoch, now + END_TIME))
+
+    def _end_ended(self, now: int, event: EndEnded) -> None:
+        key = event.session, event.server
+        held = self._ending.get(key)
+        if held is None:
+            return
+        if event.sure or now >= held[1]:
+            del self._ending[key]
+        else:
+            self._out.append(Wake(now + END_AGAIN, ("end", *key)))
+
+    def _renewed(self, now: int, event: Renewed) -> None:
+        at = self._at.get(event.server, {})
+        unknown = set(event.unknown) if event.answered else set()
+        load = event.load
+        for number in event.sessions:
+            session = at.get(number)
+            if session is None or session.lease is None:
+                continue
+            if number in unknown:
+                self._ended(now, session, Outcome.SERVED, load)
+                load = ()
+                continue
+            session.lease.renewed(event.sent, now, event.answered)
+
+    def _due(self, now: int, event: Due) -> None:
+        match event.token:
+            case ("module", token):
+                self._feed(now, api.TimerFired(token))
+            case ("late", number):
+                session = self.sessions.get(number)
+                if session is not None and session.out:
+                    self._out.append(CallOff(number, session.attempts - 1))
+                    self._set_up_ended(now, SetUpEnded(number, session.attempts - 1, Evidence.SILENT))
+            case ("ask", ask):
+                session = self._asks.get(ask)
+                if session is not None:
+                    self._give(ask, session, Verdict.FAILED, reason="time is up")
+                    if not session.waiting and session.out:
+                        self._feed(now, api.ViewerGone(session.number))
+            case ("renew", server):
+                self._renew(now, server)
+            case ("watch", server):
+                if server in self._watched:
+                    self._out.append(Watch(server))
+            case ("end", number, server):
+                held = self._ending.get((number, server))
+                if held is not None:
+                    self._out.append(SendEnd(number, server, held[0], now + END_TIME))
+
+    def _renew(self, now: int, server: bytes) -> None:
+        at = self._at.get(server)
+        if not at:
+            self._renewing.discard(server)
+            return
+        for session in list(at.values()):
+            if session.lease is not None and now >= session.lease.over_at:
+                self._ended(now, session, Outcome.RESET)  # unreachable for longer than its lease: it is over
+        at = self._at.get(server, {})
+        every = renew_every(self._lease)
+        if at:
+            sessions = tuple((each.number, each.epoch) for each in at.values())
+            self._out.append(SendRenew(server, sessions, now + every))
+        self._out.append(Wake(now + every, ("renew", server)))
+
+    # Hosts and lists
+
+    def _session_ended(self, now: int, event: SessionEnded) -> None:
+        session = self._at.get(event.server, {}).get(event.session)
+        if session is not None:
+            self._ended(now, session, Outcome.SERVED)
+
+    def _hello(self, now: int, event: HostHello) -> None:
+        changed, other = self.watch.hello(now, event.server, event.process, event.age, event.drains)
+        self._entries(now, changed)
+        if other:  # what played in the old process ended with it
+            for session in list(self._at.get(event.server, {}).values()):
+                if session.lease is not None and session.sent_at < now - (event.age or 0):
+                    self._ended(now, session, Outcome.RESET)
+
+    def _host_lost(self, now: int, event: HostLost) -> None:
+        changed, again = self.watch.lost(now, event.server, event.draw, event.refused)
+        self._entries(now, changed)
+        if event.server in self._watched:
+            self._out.append(Wake(again, ("watch", event.server)))
+
+    def _note(self, now: int, event: HostNote) -> None:
+        at = self._at.get(event.server)
+        number = next(iter(at)) if at else 0
+        self._feed(now, api.Note(number, event.server, event.kind, event.value))
+
+    def _list(self, now: int, event: ListNews) -> None:
+        if event.kind is ListKind.FAILED:
+            self._feed(now, api.ServerList(ListKind.FAILED, self._version))
+            return
+        whole = event.kind is not ListKind.DELTA
+        changed = self.watch.list_entries(event.entries, whole)
+        self._entries(now, changed)
+        for server, host in self.watch.hosts.items():
+            gone = host.listed.state is api.ServerState.GONE
+            if gone and server in self._watched and not self._at.get(server):
+                self._watched.discard(server)
+                self._out.append(Unwatch(server))
+            elif not gone and server not in self._watched:
+                self._watched.add(server)
+                self._out.append(Watch(server))
+
+    def _entries(self, now: int, changed: list[api.ListEntry]) -> None:
+        if changed:
+            self._version += 1
+            self._feed(now, api.ServerList(ListKind.DELTA, self._version, tuple(changed)))
--- /dev/null
+++ b/mintmast/decisions/outcomes.py
@@ -0,0 +1,71 @@
+"""What became of a set-up, as the module must hear it: one row an observation, each with its reason.
+
+A wrong row is a double charge: "never ran" lets the module send a paid session again or refuse it. So a row
+says "never ran" only where no byte of the set-up can have reached the host, or where the host itself says so.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from mintmast.interface import Outcome
+
+
+class Evidence(Enum):
+    """What a gateway saw of a set-up."""
+
+    STARTED = "started"  # the host said that the session runs
+    FULL = "full"  # the host said that it did not run it: no room, or draining
+    FENCED = "fenced"  # the host said that it did not run it: the epoch had been ended before it came
+    HOST_ERROR = "host error"  # a whole reply with any other status
+    BAD_REPLY = "bad reply"  # a reply that is not in the protocol
+    REFUSED = "refused"  # no connection: the host said no
+    NOT_CONNECTED = "not connected"  # no connection within its time
+    CUT_UNSENT = "cut unsent"  # the connection broke before a byte of the set-up left
+    CUT = "cut"  # the connection broke after a byte had left
+    CUT_REPLY = "cut reply"  # the connection broke within the reply
+    SILENT = "silent"  # sent, and nothing came within the attempt's time
+    LATE_UNSENT = "late unsent"  # the attempt's time ran out before a byte left
+    CALLED_OFF = "called off"  # the gateway called it off after a byte had left
+    CALLED_OFF_UNSENT = "called off unsent"  # the gateway called it off before a byte left
+
+
+@dataclass(slots=True, frozen=True)
+class Row:
+    """How one kind of evidence is told to the module, and why that is true."""
+
+    outcome: Outcome | None  # None: it plays
+    never_ran: bool
+    reason: str
+
+
+TABLE: dict[Evidence, Row] = {
+    Evidence.STARTED: Row(None, False, "the host runs it"),
+    Evidence.FULL: Row(Outcome.FULL, True, "the host marks the reply: it looked and did not start"),
+    Evidence.FENCED: Row(Outcome.FULL, True, "the host keeps the ended epoch and marks the reply"),
+    Evidence.HOST_ERROR: Row(
+        Outcome.ERROR, False, "a reply without the mark does not tell what ran before it"
+    ),
+    Evidence.BAD_REPLY: Row(Outcome.ERROR, False, "what cannot be read proves nothing"),
+    Evidence.REFUSED: Row(Outcome.CONNECT_FAILED, True, "without a connection no byte can have arrived"),
+    Evidence.NOT_CONNECTED: Row(
+        Outcome.CONNECT_FAILED, True, "no byte is written before the connection stands"
+    ),
+    Evidence.CUT_UNSENT: Row(
+        Outcome.CONNECT_FAILED, True, "the stream counts what the network took: nothing"
+    ),
+    Evidence.CUT: Row(Outcome.RESET, False, "what the network took may have arrived and run"),
+    Evidence.CUT_REPLY: Row(Outcome.RESET, False, "a host that replies has acted; how is lost with the rest"),
+    Evidence.SILENT: Row(Outcome.TIMEOUT, False, "it may have run, may run yet, or its answer may be lost"),
+    Evidence.LATE_UNSENT: Row(
+        Outcome.CONNECT_FAILED, True, "its time ended with nothing sent; the call is dropped"
+    ),
+    Evidence.CALLED_OFF: Row(Outcome.CANCELLED, False, "a call-off may come after the start"),
+    Evidence.CALLED_OFF_UNSENT: Row(Outcome.CONNECT_FAILED, True, "nothing was sent, and now never is"),
+}
+
+
+def may_have_run(evidence: Evidence) -> bool:
+    """Tell whether the host may hold a session for it, so that it must be ended there."""
+    return not TABLE[evidence].never_ran
--- /dev/null
+++ b/mintmast/fronts/dash/front.py
@@ -0,0 +1,156 @@
+"""The front: a manifest's request is held until the core answers it, then gets exactly one answer.
+
+`GET /dash/TITLE/manifest.mpd` with the viewer's access token (`Authorization: Bearer` or `access_token`);
+`Idempotency-Key` names the viewer's wish over his tries, `Prefer: wait=S` (RFC 7240) how long he waits.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+
+from mintmast.config import Config, Title
+from mintmast.core.service import Core
+from mintmast.decisions.book import Ask, Give, Verdict
+from mintmast.fronts.dash.manifest import Manifests, Shape, iso_time
+from mintmast.fronts.tokens import AccessTokens, Keys, SessionTokens, TokenError, Viewer
+from mintmast.http.server import Exchange, HttpServer, ServerLimits
+from mintmast.loop import Loop
+
+_PATH = re.compile(r"^/dash/([A-Za-z0-9][A-Za-z0-9._~-]{0,99})/manifest\.mpd$")
+_WAIT = re.compile(r"(?:^|[,;\s])wait=([0-9]{1,6}(?:\.[0-9]{1,3})?)")
+_TYPE = "application/dash+xml"
+# characters of an idempotency key; longer ones are cut off as malformed
+_KEY_LENGTH = 200
+_NO_STORE = ("Cache-Control", "no-store")
+
+
+class DashFront:
+    """Serves manifests for one gateway. `core` is what asks are handed to."""
+
+    def __init__(self, loop: Loop, config: Config, core: Core) -> None:
+        tokens = config["tokens"]
+        self.loop, self.config, self.core = loop, config, core
+        self.access = AccessTokens(Keys(tokens["access"]), tokens["audience"], tokens["skew_s"])
+        keys = Keys(tokens["session"])
+        self.sessions = SessionTokens(keys, tokens["session"][0]["kid"], tokens["skew_s"])
+        self.manifests = Manifests()
+        limits, listen = config["limits"], config["listen"]
+        self._margin = limits["answer_margin_ms"] * 1000
+        self.server = HttpServer(
+            loop,
+            listen["host"],
+            listen["port"],
+            self._handle,
+            ServerLimits(
+                header_bytes=limits["header_bytes"],
+                connections=limits["connections"],
+                pipelined=limits["pipelined"],
+                header_time=limits["header_ms"] * 1000,
+                idle_time=limits["idle_ms"] * 1000,
+            ),
+        )
+        self.public = listen.get("public") or f"http://{listen['host']}:{self.server.port}"
+
+    def _handle(self, exchange: Exchange) -> None:
+        if exchange.path == "/dash/time" and exchange.method in ("GET", "HEAD"):
+            body = iso_time(self.loop.wall()).encode()
+            exchange.respond(200, [("Content-Type", "text/plain"), _NO_STORE], body)
+            return
+        match = _PATH.match(exchange.path)
+        title = self.config.titles.get(match[1]) if match else None
+        if title is None:
+            exchange.problem(404, "no such title" if match else "no such path")
+        elif exchange.method == "OPTIONS":
+            exchange.respond(204, [("Allow", "GET, HEAD, OPTIONS")])
+        elif exchange.method not in ("GET", "HEAD"):
+            exchange.problem(405, "only GET and HEAD", headers=[("Allow", "GET, HEAD, OPTIONS")])
+        else:
+            self._manifest(exchange, title)
+
+    def _manifest(self, exchange: Exchange, title: Title) -> None:
+        try:
+            viewer = self._viewer(exchange, title)
+        except TokenError as error:
+            status = 403 if error.forbidden else 401
+            challenge = [("WWW-Authenticate", 'Bearer error="invalid_token"')] if status == 401 else []
+            exchange.problem(status, str(error), headers=challenge)
+            return
+        if exchange.method == "HEAD":  # the head alone must not set a session up
+            exchange.respond(200, [("Content-Type", _TYPE), _NO_STORE])
+            return
+        service = self.config.classes[viewer.service]
+        budget = self.config.settings.classes[service].deadline
+        wait = _WAIT.search(exchange.headers.get("prefer", ""))
+        if wait:
+            budget = min(budget, int(float(wait[1]) * 1e6))
+        key = exchange.headers.get("idempotency-key", "").strip().strip('"') or viewer.key
+        if len(key) > _KEY_LENGTH:
+            exchange.problem(400, "idempotency key too long")
+            return
+        ask = Ask(
+            ask=0,
+            service=service,
+            tenant=self.config.tenants.get(viewer.tenant, 0),
+            title=title.number,
+            home_cell=title.home,
+            copies=title.copies,
+            best_rung=min(viewer.best_rung, len(self.config.settings.rung_kb) - 1),
+            budget=max(0, budget - self._margin),
+            key=f"{viewer.tenant}/{viewer.subject}/{viewer.service}/{title.name}/{key}" if key else "",
+            length=0 if title.live else int(title.seconds * 1e6),
+            again=exchange.headers.get("mintmast-again") == "1",
+        )
+        number = self.core.ask(ask, lambda give: self._answer(exchange, title, service, ask.best_rung, give))
+        exchange.on_gone = lambda: self.core.gone(number)
+
+    def _viewer(self, exchange: Exchange, title: Title) -> Viewer:
+        scheme, _, token = exchange.headers.get("authorization", "").partition(" ")
+        if scheme.lower() != "bearer" or not token:
+            token = exchange.query.get("access_token", "")
+        if not token:
+            raise TokenError("an access token is needed")
+        viewer = self.access.viewer(token.strip(), self.loop.wall())
+        if viewer.service not in self.config.classes:
+            raise TokenError("the token's class is not offered here", forbidden=True)
+        if self.config.tenants and viewer.tenant not in self.config.tenants:
+            raise TokenError("the token's tenant is not known here", forbidden=True)
+        if viewer.title is not None and viewer.title != title.name:
+            raise TokenError("the token is for another title", forbidden=True)
+        return viewer
+
+    def _answer(self, exchange: Exchange, title: Title, service: int, best: int, give: Give) -> None:
+        if give.verdict is Verdict.PLAYS:
+            exchange.respond(*self._playing(title, service, best, give))
+        elif give.verdict is Verdict.REFUSED:
+            advice = [("Retry-After", str(max(1, math.ceil(give.advice / 1e6))))]
+            if give.advice:
+                advice.append(("Mintmast-Retry-Ms", str(give.advice // 1000)))
+            exchange.problem(
+                503, "refused", f"{give.reason}; it did not run and may be asked for again", advice
+            )
+        else:
+            late = give.reason == "time is up"
+            exchange.problem(504 if late else 502, "failed", f"{give.reason}; it may have run")
+
+    def _playing(
+        self, title: Title, service: int, best: int, give: Give
+    ) -> tuple[int, list[tuple[str, str]], bytes]:
+        settings = self.config.settings
+        kind = settings.classes[service]
+        top = min(best, kind.top)
+        until = self.loop.wall() + title.seconds + self.config["tokens"]["session_s"]
+        host, name = give.server.decode(), self.core.name(give.session)
+        token = self.sessions.sign(name, title.name, host, top, give.epoch, until)
+        shape = Shape(
+            title.seconds,
+            title.segment_s,
+            title.live,
+            tuple(kb * kind.scale for kb in settings.rung_kb[kind.floor : top + 1]),
+            kind.floor,
+            f"{self.public}/dash/time",
+        )
+        body = self.manifests.build(shape, f"http://{host}/s/{token}/", f"token={token}")
+        rate = round(settings.rung_kb[give.rung] * kind.scale * 8)
+        headers = [("Content-Type", _TYPE), _NO_STORE, ("CMSD-Dynamic", f'"mintmast";mb={rate}')]
+        return 200, headers, body
--- /dev/null
+++ b/mintmast/fronts/dash/manifest.py
@@ -0,0 +1,119 @@
+"""The media presentation description (ISO/IEC 23009-1, clause 5), static on-demand and dynamic live.
+
+The session token stands in the path of `BaseURL` (5.6), which every player resolves segment addresses
+against, and beside it as a URL parameter of the manifest in the form of Annex I, for players that follow
+that.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from xml.sax.saxutils import escape
+
+from lxml import etree
+
+MPD = "urn:mpeg:dash:schema:mpd:2011"
+URL_PARAMETERS = "urn:mpeg:dash:urlparam:2014"
+LIVE_PROFILE = "urn:mpeg:dash:profile:isoff-live:2011"
+HTTP_ISO = "urn:mpeg:dash:utc:http-iso:2014"
+# where live titles' segment numbers begin: any moment in the past that all gateways agree on
+LIVE_ORIGIN = "2026-01-01T00:00:00Z"
+_BASE, _QUERY = "@base@", "@query@"
+# templates kept: one for each shape of title and best rung; more shapes than this are built anew each time
+_KEPT = 1024
+# s; players fetch a live manifest anew so often, and find moves of the session in it
+UPDATE_S = 30
+
+
+@dataclass(slots=True, frozen=True)
+class Shape:
+    """What a manifest depends on beside the session: seconds, kB a second."""
+
+    seconds: float
+    segment_s: float
+    live: bool
+    rates: tuple[float, ...]  # of the rungs from the lowest that the class may play to the viewer's best
+    first: int  # rung of the first rate
+    clock: str  # URL of the time, for live titles
+
+
+class Manifests:
+    """Builds manifests; the shape's text is made once and the session's parts are put in."""
+
+    def __init__(self) -> None:
+        self._kept: dict[Shape, list[str]] = {}
+
+    def build(self, shape: Shape, base: str, query: str) -> bytes:
+        """Give the document; `base` ends with a slash."""
+        parts = self._kept.get(shape)
+        if parts is None:
+            text = _document(shape).replace(_BASE, "\0").replace(_QUERY, "\1")
+            head, _, rest = text.partition("\0")
+            middle, _, tail = rest.partition("\1")
+            parts = [head, middle, tail]
+            if len(self._kept) < _KEPT:
+                self._kept[shape] = parts
+        quoted = escape(query, {'"': "&quot;"})
+        return f"{parts[0]}{escape(base)}{parts[1]}{quoted}{parts[2]}".encode()
+
+
+def _span(seconds: float) -> str:
+    return f"PT{seconds:.3f}S"
+
+
+def _document(shape: Shape) -> str:
+    root = etree.Element(f"{{{MPD}}}MPD", nsmap={None: MPD, "up": URL_PARAMETERS})
+    root.set("profiles", LIVE_PROFILE)
+    root.set("minBufferTime", _span(2 * shape.segment_s))
+    if shape.live:
+        root.set("type", "dynamic")
+        root.set("availabilityStartTime", LIVE_ORIGIN)
+        root.set("publishTime", LIVE_ORIGIN)
+        root.set("minimumUpdatePeriod", _span(UPDATE_S))
+        root.set("timeShiftBufferDepth", _span(shape.seconds))
+        root.set("suggestedPresentationDelay", _span(3 * shape.segment_s))
+        root.set("maxSegmentDuration", _span(shape.segment_s))
+    else:
+        root.set("type", "static")
+        root.set("mediaPresentationDuration", _span(shape.seconds))
+    etree.SubElement(root, f"{{{MPD}}}BaseURL").text = _BASE
+    period = etree.SubElement(root, f"{{{MPD}}}Period", id="0", start="PT0S")
+    video = etree.SubElement(
+        period,
+        f"{{{MPD}}}AdaptationSet",
+        id="0",
+        contentType="video",
+        mimeType="video/mp4",
+        codecs="avc1.4d401f",
+        segmentAlignment="true",
+        startWithSAP="1",
+    )
+    parameters = etree.SubElement(video, f"{{{MPD}}}SupplementalProperty", schemeIdUri=URL_PARAMETERS)
+    etree.SubElement(
+        parameters, f"{{{URL_PARAMETERS}}}UrlQueryInfo", queryTemplate="$querypart$", queryString=_QUERY
+    )
+    etree.SubElement(
+        video,
+        f"{{{MPD}}}SegmentTemplate",
+        timescale="1000",
+        duration=str(round(shape.segment_s * 1000)),
+        startNumber="1",
+        initialization="$RepresentationID$/init.mp4",
+        media="$RepresentationID$/$Number$.m4s",
+    )
+    for step, kb in enumerate(shape.rates):
+        etree.SubElement(
+            video,
+            f"{{{MPD}}}Representation",
+            id=f"r{shape.first + step}",
+            bandwidth=str(max(1, round(kb * 8000))),
+        )
+    if shape.live:
+        etree.SubElement(root, f"{{{MPD}}}UTCTiming", schemeIdUri=HTTP_ISO, value=shape.clock)
+    return etree.tostring(root, xml_declaration=True, encoding="UTF-8").decode()
+
+
+def iso_time(seconds: float) -> str:
+    """Give a wall clock's time as ISO 8601 in UTC."""
+    return datetime.fromtimestamp(seconds, UTC).isoformat(timespec="milliseconds").replace("+00:00", "Z")
--- /dev/null
+++ b/mintmast/fronts/tokens.py
@@ -0,0 +1,124 @@
+"""Tokens: viewers' access tokens are checked, session tokens are signed (RFC 7519, RFC 7515, RFC 8725).
+
+The algorithm comes from the key that `kid` names, never from the token. A token has an audience and an end.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import jwt
+
+# bytes; a token longer than this is not looked at: real ones are a few hundred
+MAX_TOKEN = 4096
+# audience of session tokens: keeps an access token from being used at a host, and the other way round
+SEGMENTS = "mintmast-segments"
+
+
+class TokenError(Exception):
+    """A token that is not good; `forbidden` where it is genuine but not for this."""
+
+    def __init__(self, reason: str, forbidden: bool = False) -> None:
+        super().__init__(reason)
+        self.forbidden = forbidden
+
+
+class Keys:
+    """Keys by `kid`, each with its one algorithm."""
+
+    def __init__(self, jwks: list[dict[str, Any]]) -> None:
+        self.keys = {}
+        for jwk in jwks:
+            try:
+                key = jwt.PyJWK(jwk)
+                # PyJWT makes the raw key ready once; a plain PyJWK would be unpacked at each call
+                self.keys[jwk["kid"]] = (key, jwk["alg"])
+            except (jwt.PyJWTError, ValueError, KeyError) as error:
+                raise TokenError(f"key {jwk.get('kid')}: {error}") from None
+
+    def verify(
+        self, token: str, audience: str, skew: float, now: float, require: list[str]
+    ) -> dict[str, Any]:
+        """Give the claims of a good token. Raises TokenError."""
+        if len(token) > MAX_TOKEN:
+            raise TokenError("the token is too long")
+        try:
+            kid = jwt.get_unverified_header(token).get("kid")
+            if not isinstance(kid, str) or kid not in self.keys:
+                raise TokenError("the token's key is not known")
+            key, algorithm = self.keys[kid]
+            claims = jwt.decode(
+                token,
+                key,
+                algorithms=[algorithm],
+                audience=audience,
+                options={"require": require, "verify_exp": False, "verify_nbf": False, "verify_iat": False},
+            )
+        except jwt.PyJWTError as error:
+            raise TokenError(f"the token is not good: {error}") from None
+        except (ValueError, TypeError, RecursionError):
+            raise TokenError("the token is malformed") from None
+        for name in ("exp", "nbf"):
+            if name in claims and (
+                isinstance(claims[name], bool) or not isinstance(claims[name], int | float)
+            ):
+                raise TokenError(f"{name} is not a time")
+        if "exp" in claims and now > claims["exp"] + skew:
+            raise TokenError("the token has expired")
+        if now < claims.get("nbf", 0) - skew:
+            raise TokenError("the token is not valid yet")
+        return claims
+
+    def sign(self, kid: str, claims: dict[str, Any]) -> str:
+        """Sign claims with the key `kid`."""
+        key, algorithm = self.keys[kid]
+        return jwt.encode(claims, key.key, algorithm=algorithm, headers={"kid": kid})
+
+
+@dataclass(slots=True, frozen=True)
+class Viewer:
+    """Who asks, from an access token."""
+
+    subject: str
+    tenant: str
+    service: str
+    best_rung: int
+    key: str
+    title: str | None
+
+
+class AccessTokens:
+    """Checks viewers' tokens: `sub`, `tenant`, `class`, and where given `rung`, `title`, `jti`."""
+
+    def __init__(self, keys: Keys, audience: str, skew: float) -> None:
+        self.keys, self.audience, self.skew = keys, audience, skew
+
+    def viewer(self, token: str, now: float) -> Viewer:
+        """Give who asks. Raises TokenError."""
+        claims = self.keys.verify(token, self.audience, self.skew, now, ["exp", "aud", "sub"])
+        texts = {name: claims.get(name, "") for name in ("sub", "tenant", "class", "jti")}
+        if not all(isinstance(each, str) for each in texts.values()):
+            raise TokenError("a claim is not text")
+        rung, title = claims.get("rung", 255), claims.get("title")
+        if isinstance(rung, bool) or not isinstance(rung, int) or not 0 <= rung <= 255:
+            raise TokenError("rung is not a rung")
+        if title is not None and not isinstance(title, str):
+            raise TokenError("title is not text")
+        return Viewer(texts["sub"], texts["tenant"], texts["class"], rung, texts["jti"], title)
+
+
+class SessionTokens:
+    """Signs and checks what a player shows at a host: session, title, host, rung, epoch, end."""
+
+    def __init__(self, keys: Keys, signer: str | None, skew: float) -> None:
+        self.keys, self.signer, self.skew = keys, signer, skew
+
+    def sign(self, session: str, title: str, host: str, rung: int, epoch: int, until: float) -> str:
+        """Give the token of a session at a host."""
+        claims = {"aud": SEGMENTS, "sid": session, "ttl": title, "hst": host, "rng": rung, "epo": epoch}
+        return self.keys.sign(self.signer or "", {**claims, "exp": int(until)})
+
+    def check(self, token: str, now: float) -> dict[str, Any]:
+        """Give the claims of a good token. Raises TokenError."""
+        return self.keys.verify(token, SEGMENTS, self.skew, now, ["exp", "aud", "sid", "ttl", "hst", "epo"])
--- /dev/null
+++ b/mintmast/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The laboratory: stand-ins of what the gateway meets, load, faults, drills and audit. Nothing imports it."""
--- /dev/null
+++ b/mintmast/lab/audit.py
@@ -0,0 +1,209 @@
+"""The audit: the six rules checked from what passed on the sockets of stand-ins and viewers.
+
+Never from a gateway's word. A record is a dict with `at` (µs of the stage's clock) and `what`. Each check
+counts what it looked at, so that a rule of which nothing was seen cannot pass for kept.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+Row = dict[str, Any]
+RULES = ("answered_once", "set_up_once", "drains", "cold", "terms", "budget")
+
+
+@dataclass(slots=True)
+class Terms:
+    """What the audit must know of the stage: times in µs."""
+
+    drain_grace: int
+    slack: int  # by which the order of things seen at different ends may be off
+    floor: dict[bool, int]  # lowest rung of paid and of free sessions
+    seats: int  # sessions of one title that a gateway may hold in the paid class; 0 for no limit
+    span: int = 0  # window of the budget; 0 for none
+    free: float = 0.0
+    ratio: float = 0.0
+
+
+@dataclass(slots=True)
+class Findings:
+    """Per rule: how many cases were checked, and what broke."""
+
+    checked: dict[str, int] = field(default_factory=lambda: dict.fromkeys(RULES, 0))
+    broken: dict[str, list[str]] = field(default_factory=lambda: {rule: [] for rule in RULES})
+
+    def see(self, rule: str, *faults: str) -> None:
+        """Book one case, with what is wrong with it."""
+        self.checked[rule] += 1
+        self.broken[rule] += faults
+
+    def as_dict(self) -> dict[str, Any]:
+        """Give it for JSON; at most ten faults a rule are told in full."""
+        return {
+            rule: {
+                "checked": self.checked[rule],
+                "broken": len(self.broken[rule]),
+                "first": sorted(self.broken[rule])[:10],
+            }
+            for rule in RULES
+        }
+
+    @property
+    def good(self) -> bool:
+        """Tell whether every rule was checked and none broken."""
+        return not any(self.broken.values()) and self.checked["answered_once"] > 0
+
+
+def audit(rows: list[Row], terms: Terms) -> Findings:
+    """Check all rules."""
+    by: dict[str, list[Row]] = defaultdict(list)
+    for row in rows:
+        by[row["what"]].append(row)
+    found = Findings()
+    _answers(by, found)
+    _once(by, found, terms)
+    _drains(by, found, terms)
+    _cold(by, found)
+    _terms(by, found, terms)
+    if terms.span:
+        _budget(by, found, terms)
+    return found
+
+
+def _answers(by: dict[str, list[Row]], found: Findings) -> None:
+    kills = [(row["gateway"], row["at"]) for row in by["gateway_killed"]]
+    for row in by["request_over"]:
+        killed = any(g == row["gateway"] and row["asked_at"] <= at <= row["at"] for g, at in kills)
+        if row["left"] or row["fault"] in ("refused", "not connected", "cut unsent") or killed:
+            continue  # nobody waited, or no running gateway took it to its end
+        wrong = [] if row["status"] is not None else [f"{row['request']}: no answer, {row['fault']}"]
+        if row["status"] is not None and row["at"] - row["asked_at"] > row["patience"]:
+            wrong.append(f"{row['request']}: answered too late")
+        found.see("answered_once", *wrong)
+    for row in by["unasked"]:
+        found.see("answered_once", *[f"second answer at {row['place']}"] * row["times"])
+
+
+def _once(by: dict[str, list[Row]], found: Findings, terms: Terms) -> None:
+    ran: dict[str, list[Row]] = defaultdict(list)
+    for row in by["ran"]:
+        if row["paid"]:
+            ran[row["key"]].append(row)
+    for key, rows in ran.items():
+        found.see("set_up_once", *[f"{key}: ran {len(rows)} times"] * (len(rows) > 1))
+    for row in by["request_over"]:
+        if row["paid"] and row["status"] == 503 and row["refusal"]:
+            before = [each for each in ran[row["key"]] if each["at"] < row["at"]]
+            found.see("set_up_once", *[f"{row['key']}: refused after it ran"] * bool(before))
+    spans = _attempts(by)
+    for name, attempts in spans.items():
+        attempts.sort()
+        for (_, first_end, first), (begin, _, second) in zip(attempts, attempts[1:], strict=False):
+            both = begin < first_end - terms.slack
+            found.see("set_up_once", *[f"{name}: attempts {first} and {second} out together"] * both)
+
+
+def _attempts(by: dict[str, list[Row]]) -> dict[str, list[tuple[int, int, int]]]:
+    """Give for each session its attempts as (came, answered or left, epoch)."""
+    ends: dict[tuple, int] = {}
+    for what in ("set_up_answered", "set_up_left"):
+        for row in by[what]:
+            key = row["host"], row["session"], row["epoch"]
+            ends[key] = min(ends.get(key, row["at"]), row["at"])
+    spans: dict[str, list[tuple[int, int, int]]] = defaultdict(list)
+    for row in by["set_up_came"]:
+        key = row["host"], row["session"], row["epoch"]
+        spans[row["session"]].append((row["at"], ends.get(key, 1 << 62), row["epoch"]))
+    return spans
+
+
+def _drains(by: dict[str, list[Row]], found: Findings, terms: Terms) -> None:
+    ends: dict[str, list[int]] = defaultdict(list)
+    for row in by["drains"]:
+        if not row["on"]:
+            ends[row["host"]].append(row["at"])
+    for row in by["host_died"]:
+        ends[row["host"]].append(row["at"])
+    came: dict[tuple[str, str], list[int]] = defaultdict(list)
+    for row in by["set_up_came"]:
+        came[row["host"], row["who"]].append(row["at"])
+    for row in by["drain_told"]:
+        begin = row["at"] + terms.drain_grace + terms.slack
+        end = min((at for at in ends[row["host"]] if at >= row["at"]), default=1 << 62)
+        late = [at for at in came[row["host"], row["who"]] if begin < at < end]
+        found.see("drains", *[f"{row['who']}: set-up at draining {row['host']}" for _ in late])
+
+
+def _cold(by: dict[str, list[Row]], found: Findings) -> None:
+    born = {(row["host"], row["at"]) for row in by["host_cold"]}
+    spans = [
+        (host, at, at + row["cold"]) for row in by["host_cold"] for host, at in born if host == row["host"]
+    ]
+    for row in by["set_up_came"]:
+        if any(host == row["host"] and begin <= row["at"] < end for host, begin, end in spans):
+            found.see("cold")
+    for row in by["fell"]:
+        found.see("cold", f"{row['host']} fell over: {row['sent']} set-ups, {row['most']:.1f} borne")
+
+
+def _terms(by: dict[str, list[Row]], found: Findings, terms: Terms) -> None:
+    paid: dict[str, bool] = {}
+    for row in by["ran"]:
+        paid[row["session"]] = bool(row["paid"])
+    for row in (*by["ran"], *by["rung"]):
+        floor = terms.floor[paid.get(row["session"], False)]
+        low = row["rung"] < floor
+        found.see("terms", *[f"{row['session']}: rung {row['rung']} under the floor {floor}"] * low)
+    if not terms.seats:
+        return
+    over: dict[tuple, int] = {}
+    for row in by["session_over"]:
+        over[row["host"], row["session"]] = row["at"]
+    for row in by["host_died"]:
+        for session in row["sessions"]:
+            over.setdefault((row["host"], session), row["at"])
+    unheard = {(row["session"], row["epoch"]) for what in ("answer_lost", "answer_cut") for row in by[what]}
+    unheard |= {(row["session"], row["epoch"]) for row in by["set_up_left"]}
+    changes: dict[tuple, list[tuple[int, int]]] = defaultdict(list)
+    for row in by["ran"]:
+        if row["paid"] and (row["session"], row["epoch"]) not in unheard:
+            place = row["who"], row["title"]
+            changes[place] += [(row["at"], 1), (over.get((row["host"], row["session"]), 1 << 62), -1)]
+    for place, steps in changes.items():
+        held = most = 0
+        for _, step in sorted(steps):
+            held += step
+            most = max(most, held)
+        full = most > terms.seats
+        found.see("terms", *[f"{place}: {most} sessions on {terms.seats} seats"] * full)
+
+
+def _budget(by: dict[str, list[Row]], found: Findings, terms: Terms) -> None:
+    taken: dict[str, list[int]] = defaultdict(list)
+    for row in by["request_over"]:
+        taken[row["gateway"]].append(row["asked_at"])
+    first: dict[str, int] = {}
+    further: dict[str, list[int]] = defaultdict(list)
+    for row in sorted(by["set_up_came"], key=lambda row: (row["at"], row["epoch"])):
+        if row["session"] in first:
+            further[row["who"]].append(row["at"])
+        first.setdefault(row["session"], row["at"])
+    for who, times in further.items():
+        gateway = who.partition("&")[0].removeprefix("gateway=")
+        for at in times:
+            window = sum(1 for each in times if at - terms.span < each <= at)
+            asked = sum(
+                1 for each in taken[gateway] if at - terms.span - terms.slack <= each <= at + terms.slack
+            )
+            most = terms.free + terms.ratio * asked
+            found.see("budget", *[f"{who}: {window} further attempts, {most:.1f} allowed"] * (window > most))
+
+
+def worth(rows: list[Row]) -> Iterator[tuple[str, float, float]]:
+    """Yield (class, asked, answered) of each wish: worth by the second at the rung watched, over its best."""
+    for row in rows:
+        if row["what"] == "wish_over":
+            yield row["service"], row["worth_asked"], row["worth_answered"]
--- /dev/null
+++ b/mintmast/lab/standin.py
@@ -0,0 +1,479 @@
+"""A stand-in media host: speaks the host protocol, serves segments by token, models its link, takes faults.
+
+The model: sessions ask their rung's rate times a true factor of their title; a link, and the uplink that its
+rack shares, give all of them the same part when more is asked. A host that started is cold, and falls over
+when it is sent set-ups too fast. What passes on its sockets goes to `record`, which the audit reads.
+"""
+
+from __future__ import annotations
+
+import json
+import zlib
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from mintmast.fronts.tokens import SessionTokens, TokenError
+from mintmast.hosts.protocol import LOAD, NEVER_RAN, event, load_header
+from mintmast.http.server import Exchange, Headers, HttpServer, ServerLimits
+from mintmast.loop import Loop, Timer
+
+Record = Callable[..., None]
+# µs between notes of a short share, and between signs of life on a line
+NOTE_SHORT, KEEP_ALIVE = 1_000_000, 1_000_000
+# part of its segment's time in which a segment is sent while the link has room
+HASTE = 0.25
+# share under which notes of short delivery are sent
+SHORT = 0.98
+# s; ended epochs are remembered for so many leases: longer than any set-up can be under way
+TOMB_LEASES = 6
+
+
+@dataclass(slots=True)
+class HostModel:
+    """What a stand-in is: rates in kB a second, times in µs."""
+
+    link_kb: float = 400.0
+    streams: int = 30
+    set_up_time: int = 8_000
+    cold: int = 12_000_000
+    cold_from: float = 0.4
+    fall: int = 1_500_000
+    fall_multiple: float = 2.5
+    notes_every: int = 3_000_000
+    report_delay: int = 300_000
+    idle: int = 6_000_000  # a session whose player asks nothing for so long has been left
+    vary: float = 0.15  # true rates lie so far from the ladder's, by title
+    guard: float = 0.0
+
+
+@dataclass(slots=True)
+class Rack:
+    """An uplink and the hosts that share it."""
+
+    uplink_kb: float = 1e12
+    hosts: list[StandIn] = field(default_factory=list)
+
+    def use(self) -> float:
+        """Give what is asked over what it gives."""
+        return sum(min(host.asked(), host.rate()) for host in self.hosts if host.alive) / self.uplink_kb
+
+
+@dataclass(slots=True)
+class _Held:
+    name: str
+    title: str
+    rung: int
+    kb: float
+    epoch: int
+    who: str
+    key: str
+    until: int
+    paid: bool
+    factor: float
+    seen: int
+    idempotency: str = ""
+
+
+class StandIn:
+    """One media host. Faults are attributes that a drill sets while it runs."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        host: str,
+        port: int,
+        tokens: SessionTokens,
+        rack: Rack,
+        model: HostModel,
+        record: Record = lambda what, **fields: None,
+        process: str = "1",
+        cold_start: bool = False,
+    ) -> None:
+        self.loop, self.tokens, self.rack, self.model, self.record = loop, tokens, rack, model, record
+        self.process = process
+        self.started = loop.now()
+        self.cold_start = cold_start
+        self.alive = True
+        self.sessions: dict[str, _Held] = {}
+        self.tombs: dict[str, tuple[int, int]] = {}  # ended epochs, and until when they are kept
+        self.draining = False
+        # Faults
+        self.hang = False
+        self.lose_answers = 0.0  # part of set-ups that run and whose answer never leaves
+        self.cut_answers = 0.0  # part of set-ups that run and whose answer is cut within
+        self.errors = 0.0  # part of set-ups answered 500 at once
+        self.slow = 0  # µs more for a set-up
+        self.weak = 1.0  # the link gives so much less
+        self.draw: Callable[[], float] = lambda: 1.0
+        self._late: list[Exchange] = []
+        self._lines: dict[Exchange, str] = {}
+        self._arrivals: deque[int] = deque()
+        self._timers: list[Timer] = []
+        self.server = HttpServer(loop, host, port, self._handle, ServerLimits(idle_time=60_000_000))
+        self.name = f"{host}:{self.server.port}"
+        rack.hosts.append(self)
+        self._every(model.notes_every, self._tell_use)
+        self._every(NOTE_SHORT, self._tell_short)
+        self._every(KEEP_ALIVE, self._keep_alive)
+        self._every(200_000, self._sweep)
+
+    # The model
+
+    def rate(self) -> float:
+        """Give what the link carries now."""
+        return self.model.link_kb / self.weak * self.warmth()
+
+    def asked(self) -> float:
+        """Give what its sessions ask of the link."""
+        return sum(each.kb * each.factor for each in self.sessions.values())
+
+    def warmth(self, at: int | None = None) -> float:
+        """Give the part of its capacity that it has."""
+        if not self.cold_start:
+            return 1.0
+        age = max(0, (self.loop.now() if at is None else at) - self.started)
+        return min(1.0, self.model.cold_from + (1 - self.model.cold_from) * age / self.model.cold)
+
+    def share(self) -> float:
+        """Give the part of their rates that its sessions get."""
+        if self.hang:
+            return 0.0
+        return min(1.0, self.rate() / max(1e-9, self.asked()), 1 / max(1e-9, self.rack.use()))
+
+    def _arrived(self) -> None:
+        """Count a set-up against the cold pace, and fall over when it is too much."""
+        now, model = self.loop.now(), self.model
+        if not self.cold_start or now - self.started > model.cold:
+            return
+        self._arrivals.append(now)
+        while self._arrivals[0] <= now - model.fall:
+            self._arrivals.popleft()
+        most = model.fall_multiple * model.streams / model.cold * self.warmth() * model.fall
+        if len(self._arrivals) > max(1.0, most):
+            self.record("fell", host=self.name, sent=len(self._arrivals), most=most)
+            self.die()
+
+    def die(self) -> None:
+        """Stop without a word, as a killed process does."""
+        if not self.alive:
+            return
+        self.alive = False
+        self.record("host_died", host=self.name, sessions=sorted(self.sessions))
+        for timer in self._timers:
+            timer.cancel()
+        self.rack.hosts.remove(self)
+        self.sessions.clear()
+        self.server.close()
+
+    def drain(self, on: bool = True) -> None:
+        """Take nothing new, and say so."""
+        self.draining = on
+        self.record("drains", host=self.name, on=on)
+        self._tell("drain", drains=on)
+
+    # Control
+
+    def _handle(self, exchange: Exchange) -> None:
+        if self.hang:
+            self._late.append(exchange)
+            if exchange.method == "PUT":
+                self._note_arrival(exchange)
+            return
+        path = exchange.path
+        if path.startswith("/v1/sessions/"):
+            name = path.removeprefix("/v1/sessions/")
+            act = {"PUT": self._set_up, "PATCH": self._rung, "DELETE": self._end}.get(exchange.method)
+            if act is None:
+                exchange.problem(405, "no such method", headers=[("Allow", "PUT, PATCH, DELETE")])
+            else:
+                act(exchange, name)
+        elif path == "/v1/leases" and exchange.method == "POST":
+            self._renew(exchange)
+        elif path == "/v1/notes" and exchange.method == "GET":
+            self._line(exchange)
+        elif path.startswith("/s/"):
+            self._segment(exchange, path.split("/")[2:])
+        else:
+            exchange.problem(404, "no such path")
+
+    def resume(self) -> None:
+        """End a hang: what waited is worked off now."""
+        self.hang = False
+        waiting, self._late = self._late, []
+        for exchange in waiting:
+            if not exchange.done or exchange.method == "PUT":
+                self._handle(exchange)
+
+    def _note_arrival(self, exchange: Exchange) -> None:
+        name = exchange.path.removeprefix("/v1/sessions/")
+        body = _body(exchange)
+        self.record(
+            "set_up_came", host=self.name, session=name, epoch=body.get("epoch"), key=body.get("key"),
+            paid=body.get("paid"), who=body.get("who"),
+        )  # fmt: skip
+        epoch = body.get("epoch")
+
+        def gone() -> None:
+            self.record("set_up_left", host=self.name, session=name, epoch=epoch)
+
+        exchange.on_gone = gone
+
+    def _set_up(self, exchange: Exchange, name: str) -> None:
+        body = _body(exchange)
+        try:
+            epoch, kb, rung = int(body["epoch"]), float(body["kb"]), int(body["rung"])
+            title, who, key = str(body["title"]), str(body["who"]), str(body["key"])
+            lease, paid = int(body["lease_ms"]) * 1000, body["paid"] is True
+        except (KeyError, ValueError, TypeError):
+            exchange.problem(400, "the set-up lacks what is needed")
+            return
+        if exchange.on_gone is None:
+            self._note_arrival(exchange)
+        self._arrived()
+        if not self.alive:
+            return
+        if self.draining:
+            self.record("sent_to_draining", host=self.name, session=name, who=who)
+            self._never_ran(exchange, name, epoch, 503, "draining")
+            return
+        full = self.model.guard and self.asked() > self.rate() * self.model.guard
+        if len(self.sessions) >= self.model.streams or full:
+            self._never_ran(exchange, name, epoch, 503, "full")
+            return
+        if self.draw() < self.errors:
+            self._answered(name, epoch)
+            exchange.problem(500, "failed", headers=self._load())
+            return
+        factor = 1 + self.model.vary * (zlib.crc32(title.encode()) % 2001 / 1000 - 1)
+        token = exchange.headers.get("idempotency-key", "")
+        held = _Held(name, title, rung, kb, epoch, who, key, 0, paid, factor, 0, token)
+        self.loop.call_at(
+            self.loop.now() + self.model.set_up_time + self.slow, self._run, exchange, held, lease
+        )
+
+    def _run(self, exchange: Exchange, held: _Held, lease: int) -> None:
+        if not self.alive:
+            return
+        if self.hang:
+            self._late.append(exchange)
+            return
+        name, epoch = held.name, held.epoch
+        if self.tombs.get(name, (0, 0))[0] >= epoch:
+            self._never_ran(exchange, name, epoch, 409, "fenced")
+            return
+        old = self.sessions.get(name)
+        if old is None or old.idempotency != held.idempotency:
+            held.until, held.seen = self.loop.now() + lease, self.loop.now()
+            self.sessions[name] = held
+            self.record(
+                "ran", host=self.name, session=name, epoch=epoch, key=held.key, paid=held.paid,
+                rung=held.rung,                 title=held.title, who=held.who,
+            )  # fmt: skip
+        draw = self.draw()
+        if draw < self.lose_answers:
+            self.record("answer_lost", host=self.name, session=name, epoch=epoch)
+            return
+        if draw < self.lose_answers + self.cut_answers:
+            self._answered(name, epoch)
+            self.record("answer_cut", host=self.name, session=name, epoch=epoch)
+            exchange.cut()
+            return
+        self._answered(name, epoch)
+        exchange.respond(201, [*self._load(), ("Content-Type", "application/json")], b"{}")
+
+    def _never_ran(self, exchange: Exchange, name: str, epoch: int, status: int, mark: str) -> None:
+        self._answered(name, epoch)
+        exchange.problem(status, mark, headers=[(NEVER_RAN, mark), *self._load()])
+
+    def _answered(self, name: str, epoch: int) -> None:
+        self.record("set_up_answered", host=self.name, session=name, epoch=epoch)
+
+    def _rung(self, exchange: Exchange, name: str) -> None:
+        body = _body(exchange)
+        held = self.sessions.get(name)
+        if held is None or body.get("epoch") != held.epoch:
+            exchange.problem(404, "no such session")
+            return
+        held.rung, held.kb = int(body.get("rung", held.rung)), float(body.get("kb", held.kb))
+        self.record("rung", host=self.name, session=name, rung=held.rung)
+        exchange.respond(204, self._load())
+
+    def _end(self, exchange: Exchange, name: str) -> None:
+        told = exchange.query.get("epoch", "")
+        if not told.isdigit():
+            exchange.problem(400, "epoch is missing")
+            return
+        epoch = int(told)
+        until = self.loop.now() + TOMB_LEASES * 10_000_000
+        self.tombs[name] = max(self.tombs.get(name, (0, 0))[0], epoch), until
+        held = self.sessions.get(name)
+        if held is not None and held.epoch <= epoch:
+            self._drop(held, "ended by its gateway", tell=False)
+        exchange.respond(204, self._load())
+
+    def _renew(self, exchange: Exchange) -> None:
+        body = _body(exchange)
+        sessions, unknown = body.get("sessions"), []
+        lease = int(body.get("lease_ms", 0)) * 1000
+        for name, epoch in sessions.items() if isinstance(sessions, dict) else ():
+            held = self.sessions.get(name)
+            if held is None or held.epoch != epoch:
+                unknown.append(name)
+            else:
+                held.until = self.loop.now() + lease
+        exchange.respond(
+            200, [*self._load(), ("Content-Type", "application/json")], _json({"unknown": unknown})
+        )
+
+    # Notes
+
+    def _line(self, exchange: Exchange) -> None:
+        who = f"gateway={exchange.query.get('gateway', '')}&start={exchange.query.get('start', '')}"
+        self._lines[exchange] = who
+        exchange.on_gone = lambda: self._lines.pop(exchange, None)
+        exchange.start(200, [("Content-Type", "text/event-stream"), ("Cache-Control", "no-store")])
+        age = (self.loop.now() - self.started) / 1000 if self.cold_start else None
+        exchange.send(event("hello", process=self.process, age_ms=age, drains=self.draining))
+        self.record("hello", host=self.name, who=who, drains=self.draining)
+        if self.draining:
+            self.record("drain_told", host=self.name, who=who)
+
+    def _tell(self, kind: str, to: str | None = None, **fields: Any) -> None:
+        if self.hang or not self.alive:
+            return
+        for exchange, who in list(self._lines.items()):
+            if to is None or to == who:
+                exchange.send(event(kind, **fields))
+                if kind == "drain" and fields.get("drains"):
+                    self.record("drain_told", host=self.name, who=who)
+
+    def _tell_use(self) -> None:
+        use = self.asked() / max(1e-9, self.rate())
+        self._later("link", use)
+        if self.rack.uplink_kb < 1e11:
+            self._later("uplink", self.rack.use())
+
+    def _tell_short(self) -> None:
+        share = self.share()
+        if share < SHORT and self.sessions:
+            self._later("delivered", share)
+
+    def _later(self, kind: str, value: float) -> None:
+        when = self.loop.now() + self.model.report_delay
+        self.loop.call_at(when, lambda: self._tell(kind, value=round(value, 4)))
+
+    def _keep_alive(self) -> None:
+        if not self.hang:
+            for exchange in list(self._lines):
+                exchange.send(b": \n\n")
+
+    # Sessions
+
+    def _sweep(self) -> None:
+        now = self.loop.now()
+        for held in list(self.sessions.values()):
+            if now >= held.until:
+                self._drop(held, "lease over")
+            elif now - held.seen > self.model.idle and not self.hang:
+                self._drop(held, "left")
+        if len(self.tombs) > 4 * self.model.streams:
+            self.tombs = {name: tomb for name, tomb in self.tombs.items() if tomb[1] > now}
+
+    def _drop(self, held: _Held, why: str, tell: bool = True) -> None:
+        del self.sessions[held.name]
+        self.tombs[held.name] = held.epoch, self.loop.now() + TOMB_LEASES * 10_000_000
+        self.record("session_over", host=self.name, session=held.name, epoch=held.epoch, why=why)
+        if tell:
+            self._tell("ended", held.who, session=held.name, why=why)
+
+    # Media
+
+    def _segment(self, exchange: Exchange, parts: list[str]) -> None:
+        if len(parts) not in (2, 3):
+            exchange.problem(404, "no such path")
+            return
+        try:
+            claims = self.tokens.check(parts[0], self.loop.wall())
+        except TokenError as error:
+            exchange.problem(401, str(error))
+            return
+        held = self.sessions.get(claims["sid"])
+        if held is None or claims["epo"] != held.epoch or claims["hst"] != self.name:
+            exchange.problem(403, "the session does not play here")
+            return
+        held.seen = self.loop.now()
+        if parts[1] == "end" and exchange.method == "POST":
+            self._drop(held, "played")
+            exchange.respond(204)
+            return
+        wanted = parts[1].removeprefix("r")
+        if not wanted.isdigit() or int(wanted) > claims.get("rng", 255) or len(parts) != 3:
+            exchange.problem(403, "the token is not for this rung")
+            return
+        if exchange.query.get("title", held.title) != held.title or claims["ttl"] != held.title:
+            exchange.problem(403, "the token is for another title")
+            return
+        headers: Headers = [
+            ("Content-Type", "video/mp4"),
+            ("CMSD-Dynamic", f'"{self.name}";mb={round(held.kb * 8)}'),
+        ]
+        size, duration = self._size(parts[2], held, int(wanted))
+        body = bytes(size)
+        ranged = exchange.headers.get("range")
+        status = 200
+        if ranged:
+            status, body, headers = _range(ranged, body, headers)
+        self.loop.call_at(
+            self.loop.now() + int(duration * 1e6 * self._haste(held, int(wanted))),
+            exchange.respond, status, headers, body,
+        )  # fmt: skip
+
+    def _size(self, what: str, held: _Held, rung: int) -> tuple[int, float]:
+        if what == "init.mp4":
+            return 100, 0.0
+        return max(1, min(1 << 20, int(held.kb * 200))), 2.0
+
+    def _haste(self, held: _Held, wanted: int) -> float:
+        share = max(0.02, self.share())
+        above = 2.0 ** max(0, wanted - held.rung)  # a rung above the one held gets no more of the link
+        return (HASTE if share >= SHORT else 1 / share) * above
+
+    def _load(self) -> Headers:
+        use = {"x0": round(self.asked() / max(1e-9, self.rate()), 4), "x1": round(self.rack.use(), 4)}
+        return [(LOAD, load_header(use))]
+
+    def _every(self, span: int, do: Callable[[], None]) -> None:
+        def again() -> None:
+            if self.alive:
+                do()
+                self._timers[place] = self.loop.call_at(self.loop.now() + span, again)
+
+        place = len(self._timers)
+        self._timers.append(self.loop.call_at(self.loop.now() + span, again))
+
+
+def _range(asked: str, body: bytes, headers: Headers) -> tuple[int, bytes, Headers]:
+    """Serve one range of bytes (RFC 9110, 14); others are served whole, as the RFC allows."""
+    unit, _, spec = asked.partition("=")
+    first, dash, last = spec.partition("-")
+    if unit.strip() != "bytes" or not dash or "," in spec or not (first + last).isdigit():
+        return 200, body, headers
+    begin = int(first) if first else max(0, len(body) - int(last))
+    end = min(int(last), len(body) - 1) if first and last else len(body) - 1
+    if begin > end:
+        return 416, b"", [*headers, ("Content-Range", f"bytes */{len(body)}")]
+    return 206, body[begin : end + 1], [*headers, ("Content-Range", f"bytes {begin}-{end}/{len(body)}")]
+
+
+def _body(exchange: Exchange) -> dict[str, Any]:
+    try:
+        value = json.loads(exchange.body)
+    except (ValueError, RecursionError):
+        return {}
+    return value if isinstance(value, dict) else {}
+
+
+def _json(value: dict[str, Any]) -> bytes:
+    return json.dumps(value).encode()
--- /dev/null
+++ b/mintmast/loop/base.py
@@ -0,0 +1,150 @@
+"""What a loop, a stream and a timer are, whichever network lies under them.
+
+Times are whole microseconds of one clock that only goes forward. All callbacks run on the loop, one at a
+time; a callback may close any stream, its own included.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, Protocol
+
+
+class Close(Enum):
+    """Why a stream is over."""
+
+    EOF = "eof"  # the peer finished and nothing of ours was left to send
+    RESET = "reset"  # the peer or the network broke it
+    REFUSED = "refused"  # never connected: the peer said no
+    UNREACHABLE = "unreachable"  # never connected: nobody said anything, or no path
+    LOCAL = "local"  # closed from this side
+    OVERFLOW = "overflow"  # the peer read too slowly for what was to be sent
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """Bounds of one stream, in bytes."""
+
+    unsent: int = 1 << 20  # written by us, not yet taken by the network; past it the stream ends
+    resume: int = 1 << 16  # at or under it `drained` is called, after `write` has told of a backlog
+    chunk: int = 1 << 16  # read from the network at once
+
+
+DEFAULT = Limits()
+
+
+class Handler:
+    """Callbacks of one stream; the default does nothing."""
+
+    def opened(self, stream: Stream) -> None:
+        """Take note that the stream is connected."""
+
+    def received(self, data: bytes) -> None:
+        """Take bytes from the peer."""
+
+    def finished(self) -> None:
+        """Take note that the peer sends nothing more; the default closes the stream."""
+
+    def drained(self) -> None:
+        """Go on writing: the backlog has shrunk."""
+
+    def closed(self, reason: Close) -> None:
+        """Take note that the stream is over; called once, and nothing is called after it."""
+
+
+class Stream(Protocol):
+    """A connection. `handed_over` counts the bytes that this side has given to the network."""
+
+    handed_over: int
+    peer: tuple[str, int]
+
+    def write(self, data: bytes) -> bool:
+        """Queue bytes; False where a backlog stands and the caller had better wait for `drained`."""
+
+    def pause(self) -> None:
+        """Read no more until `resume`."""
+
+    def resume(self) -> None:
+        """Read again."""
+
+    def close(self) -> None:
+        """Send what is queued, then close."""
+
+    def abort(self) -> None:
+        """Close at once, dropping what is queued."""
+
+
+class Listener(Protocol):
+    """A listening address; `port` is the real one where 0 was asked."""
+
+    port: int
+
+    def close(self) -> None:
+        """Accept no more."""
+
+
+class Loop(Protocol):
+    """Clock, timers and network as handed to every part."""
+
+    def now(self) -> int:
+        """Give the microseconds of the clock."""
+
+    def wall(self) -> float:
+        """Give the seconds since 1970 as this machine believes them."""
+
+    def call_at(self, when: int, do: Callable[..., Any], *args: Any) -> Timer:
+        """Call `do(*args)` at `when`, or in the next turn where that is past."""
+
+    def call_soon(self, do: Callable[..., Any], *args: Any) -> Timer:
+        """Call `do(*args)` in the next turn."""
+
+    def listen(self, host: str, port: int, accept: Callable[[], Handler], backlog: int = 512) -> Listener:
+        """Accept connections; `accept` makes the handler of each. Raises OSError."""
+
+    def connect(self, host: str, port: int, handler: Handler, limits: Limits = ...) -> Stream:
+        """Begin to connect; `handler` hears `opened` or `closed`, never before this returns."""
+
+
+class Timer:
+    """A call to come; `cancel` may be called at any time."""
+
+    __slots__ = ("args", "do", "when")
+
+    def __init__(self, when: int, do: Callable[..., Any], args: tuple[Any, ...]) -> None:
+        self.when = when
+        self.do: Callable[..., Any] | None = do
+        self.args = args
+
+    def cancel(self) -> None:
+        """Call it off."""
+        self.do, self.args = None, ()
+
+
+class Timers:
+    """Timers in order of their time, those of equal time in the order in which they were set."""
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[int, int, Timer]] = []
+        self._count = itertools.count()
+        self._dead = 0
+
+    def add(self, when: int, do: Callable[..., Any], args: tuple[Any, ...]) -> Timer:
+        """Set one."""
+        timer = Timer(when, do, args)
+        heapq.heappush(self._heap, (when, next(self._count), timer))
+        return timer
+
+    def next(self) -> int | None:
+        """Give the time of the first that is still wanted."""
+        while self._heap and self._heap[0][2].do is None:
+            heapq.heappop(self._heap)
+        return self._heap[0][0] if self._heap else None
+
+    def pop(self, now: int) -> Timer | None:
+        """Take out the first that is due."""
+        when = self.next()
+        return heapq.heappop(self._heap)[2] if when is not None and when <= now else None
--- /dev/null
+++ b/mintmast/loop/memory.py
@@ -0,0 +1,281 @@
+"""A network in memory with a virtual clock: the same seed gives the same run, and nothing ever waits.
+
+Every machine of the world is a `Node`, which is a `Loop` of its own; the `World` holds the one clock. Bytes
+take a drawn time between nodes and keep their order; a node may be killed, paths may be slowed or cut.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from mintmast.loop.base import DEFAULT, Close, Handler, Limits, Timer, Timers
+
+EPOCH = 1_800_000_000  # s; the wall clock of every world at its start
+CONNECT_LOST = 3_000_000  # µs; a connection into a cut path is given up by the network after this
+
+
+class World:
+    """All nodes, one clock, one seed. `latency` is the range of one way between nodes in microseconds."""
+
+    def __init__(self, seed: int, latency: tuple[int, int] = (100, 900)) -> None:
+        self.random = random.Random(seed)
+        self.latency = latency
+        self.time = 1_000_000
+        self.nodes: dict[str, Node] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.slow: dict[tuple[str, str], int] = {}  # µs more, one way
+        self._timers = Timers()
+
+    def node(self, name: str) -> Node:
+        """Make the machine `name`, or make it anew after `kill`."""
+        old = self.nodes.get(name)
+        node = self.nodes[name] = Node(self, name, old.skew if old else 0.0)
+        return node
+
+    def at(self, when: int, do: Callable[..., Any], *args: Any) -> Timer:
+        """Call at a time of the world, whichever nodes live then."""
+        return self._timers.add(max(when, self.time), do, args)
+
+    def run(self, until: int) -> None:
+        """Let the world go on to the time `until`."""
+        while (due := self._timers.next()) is not None and due <= until:
+            timer = self._timers.pop(due)
+            if timer is not None and timer.do is not None:
+                self.time = max(self.time, due)
+                timer.do(*timer.args)
+        self.time = max(self.time, until)
+
+    def delay(self, source: str, target: str) -> int | None:
+        """Draw the time of one way; None where the path is cut."""
+        if (source, target) in self.cuts:
+            return None
+        return self.random.randint(*self.latency) + self.slow.get((source, target), 0)
+
+
+class Node:
+    """A machine of the world: its timers, listeners and streams die with it."""
+
+    def __init__(self, world: World, name: str, skew: float) -> None:
+        self.world, self.name, self.skew = world, name, skew
+        self.alive = True
+        self.frozen: list[tuple[Callable[..., Any], tuple[Any, ...]]] | None = None
+        self._listeners: dict[int, _Listener] = {}
+        self._streams: dict[_End, None] = {}
+        self._port = 20_000
+        self.longest_turn = self.turns = 0
+
+    def now(self) -> int:
+        """Give the microseconds of the world's clock."""
+        return self.world.time
+
+    def wall(self) -> float:
+        """Give the seconds since 1970, with this node's skew."""
+        return EPOCH + self.world.time / 1e6 + self.skew
+
+    def call_at(self, when: int, do: Callable[..., Any], *args: Any) -> Timer:
+        """Call `do(*args)` at `when` if the node still lives."""
+        timer = Timer(when, do, args)
+        self.world.at(when, self._fire, timer)
+        return timer
+
+    def call_soon(self, do: Callable[..., Any], *args: Any) -> Timer:
+        """Call `do(*args)` after what is going on."""
+        return self.call_at(self.world.time, do, *args)
+
+    def _fire(self, timer: Timer) -> None:
+        if timer.do is not None:
+            self.do(timer.do, *timer.args)
+
+    def do(self, what: Callable[..., Any], *args: Any) -> None:
+        """Run a callback of this node: now, after a stand-still, or never if it is dead."""
+        if not self.alive:
+            return
+        if self.frozen is not None:
+            self.frozen.append((what, args))
+            return
+        what(*args)
+
+    def freeze(self) -> None:
+        """Stand still: what comes waits."""
+        if self.frozen is None:
+            self.frozen = []
+
+    def thaw(self) -> None:
+        """Go on, with all that came meanwhile at once."""
+        waiting, self.frozen = self.frozen or [], None
+        for what, args in waiting:
+            self.do(what, *args)
+
+    def kill(self) -> None:
+        """Die without warning: peers see their connections break."""
+        self.alive = False
+        for end in list(self._streams):
+            end.break_off()
+        self._listeners.clear()
+        self._streams.clear()
+
+    def listen(self, host: str, port: int, accept: Callable[[], Handler], backlog: int = 512) -> _Listener:
+        """Accept connections; the host name is the node's."""
+        self._port += 1
+        port = port or self._port
+        if port in self._listeners:
+            raise OSError(f"port {port} of {self.name} is taken")
+        listener = self._listeners[port] = _Listener(self, port, accept)
+        return listener
+
+    def connect(self, host: str, port: int, handler: Handler, limits: Limits = DEFAULT) -> _End:
+        """Begin to connect to the node `host`."""
+        ours = _End(self, handler, limits, (host, port))
+        self._streams[ours] = None
+        there = self.world.delay(self.name, host)
+        back = self.world.delay(host, self.name)
+        if there is None or back is None:
+            self.call_at(self.now() + CONNECT_LOST, ours.over, Close.UNREACHABLE)
+        else:
+            self.world.at(self.now() + there, self._knock, ours, host, port, back)
+        return ours
+
+    def _knock(self, ours: _End, host: str, port: int, back: int) -> None:
+        target = self.world.nodes.get(host)
+        listener = target._listeners.get(port) if target is not None and target.alive else None
+        if target is None or listener is None or ours.done:
+            self.world.at(self.world.time + back, self.do, ours.over, Close.REFUSED)
+            return
+        self._port += 1
+        theirs = _End(target, listener.accept(), Limits(), (self.name, self._port))
+        target._streams[theirs] = None
+        theirs.other, ours.other = ours, theirs
+        target.do(theirs.open)
+        self.world.at(self.world.time + back, self.do, ours.open)
+
+
+class _Listener:
+    def __init__(self, node: Node, port: int, accept: Callable[[], Handler]) -> None:
+        self._node, self.port, self.accept = node, port, accept
+
+    def close(self) -> None:
+        self._node._listeners.pop(self.port, None)
+
+
+class _End:
+    """One side of a connection."""
+
+    def __init__(self, node: Node, handler: Handler, limits: Limits, peer: tuple[str, int]) -> None:
+        self.node, self.handler, self.limits, self.peer = node, handler, limits, peer
+        self.other: _End | None = None
+        self.handed_over = 0
+        self.done = self.is_open = False
+        self._closing = self._paused = self._backlog = False
+        self._early: list[bytes] = []
+        self._inbox: deque[bytes | Close] = deque()
+        self._in_flight = 0  # bytes on the way to the other side or unread there
+        self._last = 0  # arrival of the last thing sent: order is kept
+
+    def open(self) -> None:
+        if self.done:
+            return
+        self.is_open = True
+        self.handler.opened(self)
+        early, self._early = self._early, []
+        for data in early:
+            self._pass(data)
+        if self._closing:
+            self._finish()
+
+    def write(self, data: bytes) -> bool:
+        if self.done or self._closing or not data:
+            return not self._backlog
+        self._in_flight += len(data)
+        if self._in_flight > self.limits.unsent + self.limits.chunk:
+            self.node.call_soon(self.over, Close.OVERFLOW)
+            return False
+        if self.is_open:
+            self._pass(data)
+        else:
+            self._early.append(data)
+        self._backlog = self._backlog or self._in_flight > self.limits.resume
+        return not self._backlog
+
+    def _pass(self, data: bytes) -> None:
+        self.handed_over += len(data)
+        self._send(bytes(data))
+
+    def _send(self, what: bytes | Close) -> None:
+        other = self.other
+        if other is None:
+            return
+        world = self.node.world
+        delay = world.delay(self.node.name, other.node.name)
+        if delay is None:  # cut: TCP tries on, nothing arrives until the path is back
+            world.at(world.time + 50_000, self._send, what)
+            return
+        self._last = max(self._last, world.time + delay)
+        world.at(self._last, other.node.do, other.arrive, what, self)
+
+    def arrive(self, what: bytes | Close, sender: _End) -> None:
+        if self.done:
+            return
+        if what is Close.RESET:
+            self.over(Close.RESET)
+            return
+        self._inbox.append(what)
+        self._read()
+
+    def _read(self) -> None:
+        while self._inbox and not self._paused and not self.done and self.is_open:
+            what = self._inbox.popleft()
+            if isinstance(what, Close):
+                self.handler.finished()
+                if not self._closing:
+                    self.over(Close.EOF)
+                return
+            if self.other is not None:
+                self.other._taken(len(what))
+            self.handler.received(what)
+
+    def _taken(self, size: int) -> None:
+        self._in_flight -= size
+        if self._backlog and self._in_flight <= self.limits.resume and not self.done:
+            self._backlog = False
+            self.node.call_soon(self._drained)
+
+    def _drained(self) -> None:
+        if not self.done:
+            self.handler.drained()
+
+    def pause(self) -> None:
+        self._paused = True
+
+    def resume(self) -> None:
+        self._paused = False
+        self.node.call_soon(self._read)
+
+    def close(self) -> None:
+        if self._closing or self.done:
+            return
+        self._closing = True
+        if self.is_open:
+            self._finish()
+
+    def _finish(self) -> None:
+        self._send(Close.EOF)
+        self.node.call_soon(self.over, Close.LOCAL)
+
+    def abort(self) -> None:
+        self.over(Close.LOCAL)
+
+    def over(self, reason: Close) -> None:
+        if self.done:
+            return
+        if reason in (Close.LOCAL, Close.OVERFLOW) and not self._closing:
+            self._send(Close.RESET)
+        self.done = True
+        self.node._streams.pop(self, None)
+        self.handler.closed(reason)
+
+    def break_off(self) -> None:
+        self.done = True
+        self._send(Close.RESET)
--- /dev/null
+++ b/mintmast/player/dash.py
@@ -0,0 +1,198 @@
+"""Plays a manifest as a player does (ISO/IEC 23009-1, CTA-5006 `mb`) and counts what a viewer sees."""
+
+from __future__ import annotations
+
+import math
+import re
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, field
+from typing import Any
+from urllib.parse import urljoin, urlsplit
+
+from lxml import etree
+
+from mintmast.http.client import Call, Fault, HttpClient, Reply
+from mintmast.http.server import Headers
+from mintmast.loop import Loop
+
+_NS = {"m": "urn:mpeg:dash:schema:mpd:2011"}
+_MB = re.compile(r"mb=([0-9]{1,12})")
+# s of media that a player wants ahead of what it shows, as common players do
+BUFFER_S = 8.0
+# µs in which a segment must arrive before the player calls the session broken
+SEGMENT_TIME = 20_000_000
+# part by which a rung's told bandwidth may be over `mb` and still be meant by it: both are rounded
+ROUNDING = 1.01
+
+
+@dataclass(slots=True)
+class Report:
+    """What a viewer saw; times in seconds."""
+
+    status: int | None = None
+    fault: str | None = None
+    reason: str = ""
+    answer_s: float = 0.0
+    start_s: float | None = None
+    played_s: float = 0.0
+    rungs: dict[str, float] = field(default_factory=dict)  # seconds of media by Representation
+    stalls: int = 0
+    stalled_s: float = 0.0
+    host: str = ""
+    whole: bool = False
+    retry_ms: int = 0
+
+    def as_dict(self) -> dict[str, Any]:
+        """Give it for JSON."""
+        return asdict(self)
+
+
+class Player:
+    """One viewing of a manifest's address; `done` hears the report once.
+
+    `patience` (µs) is how long the viewer waits for the manifest's answer; `leave` (µs) makes him close the
+    connection before that. `most` bounds the seconds of media watched.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        client: HttpClient,
+        url: str,
+        headers: Headers,
+        patience: int,
+        done: Callable[[Report], None],
+        leave: int | None = None,
+        most: float = math.inf,
+    ) -> None:
+        self.loop, self.client, self.most = loop, client, most
+        self.report = Report()
+        self._done = done
+        self._began = loop.now()
+        self._base = ""
+        self._rates: list[tuple[int, str]] = []
+        self._media = self._init = ""
+        self._next = 1
+        self._count = 0
+        self._segment_s = 0.0
+        self._mb = math.inf
+        self._buffer = 0.0
+        self._at = 0  # when the buffer was last reckoned
+        parts = urlsplit(url)
+        self._address = parts.hostname or "", parts.port or 80
+        target = parts.path + (f"?{parts.query}" if parts.query else "")
+        self.call: Call = client.call(
+            self._address, "GET", target, self._answered, headers, deadline=self._began + patience
+        )
+        if leave is not None:
+            loop.call_at(self._began + leave, self.call.cancel)
+
+    def _answered(self, reply: Reply | Fault) -> None:
+        self.report.answer_s = (self.loop.now() - self._began) / 1e6
+        if isinstance(reply, Fault):
+            self._finish(reply.value)
+            return
+        self.report.status = reply.status
+        retry = reply.headers.get("mintmast-retry-ms", "0")
+        self.report.retry_ms = int(retry) if retry.isdigit() else 0
+        if reply.status != 200:
+            self._finish(reply.body.decode("utf-8", "replace")[:200])
+            return
+        self._hear(reply)
+        try:
+            self._read(reply.body)
+        except (etree.XMLSyntaxError, ValueError, AttributeError, IndexError, KeyError) as error:
+            self._finish(f"the manifest cannot be followed: {error}")
+            return
+        self._fetch("init")
+
+    def _read(self, body: bytes) -> None:
+        parser = etree.XMLParser(resolve_entities=False, no_network=True, huge_tree=False)
+        root = etree.fromstring(body, parser)
+        self._base = root.find("m:BaseURL", _NS).text
+        self.report.host = urlsplit(self._base).netloc
+        template = root.find(".//m:SegmentTemplate", _NS)
+        self._segment_s = int(template.get("duration")) / int(template.get("timescale", "1"))
+        self._media, self._init = template.get("media"), template.get("initialization")
+        self._next = int(template.get("startNumber", "1"))
+        self._rates = sorted(
+            (int(r.get("bandwidth")), r.get("id")) for r in root.iterfind(".//m:Representation", _NS)
+        )
+        length = _seconds(root.get("mediaPresentationDuration"))
+        if root.get("type") == "dynamic":
+            length = self.most
+        self._count = math.ceil(min(length, self.most) / self._segment_s)
+
+    def _hear(self, reply: Reply) -> None:
+        told = _MB.search(reply.headers.get("cmsd-dynamic", ""))
+        if told:
+            self._mb = int(told[1]) * 1000
+
+    def _rung(self) -> str:
+        fitting = [name for rate, name in self._rates if rate <= self._mb * ROUNDING]
+        return fitting[-1] if fitting else self._rates[0][1]
+
+    def _fetch(self, what: str) -> None:
+        rung = self._rung()
+        path = self._init if what == "init" else self._media.replace("$Number$", str(self._next))
+        url = urlsplit(urljoin(self._base, path.replace("$RepresentationID$", rung)))
+        address = url.hostname or "", url.port or 80
+        deadline = self.loop.now() + SEGMENT_TIME
+        self.client.call(
+            address, "GET", url.path, lambda reply: self._got(what, rung, reply), deadline=deadline
+        )
+
+    def _got(self, what: str, rung: str, reply: Reply | Fault) -> None:
+        if isinstance(reply, Fault) or reply.status != 200:
+            self._reckon()
+            self._finish(reply.value if isinstance(reply, Fault) else f"segment answered {reply.status}")
+            return
+        self._hear(reply)
+        if what != "init":
+            self._reckon()
+            if self.report.start_s is None:
+                self.report.start_s = (self.loop.now() - self._began) / 1e6
+            self._buffer += self._segment_s
+            self.report.rungs[rung] = self.report.rungs.get(rung, 0.0) + self._segment_s
+            self._next += 1
+            self._count -= 1
+        if self._count <= 0:
+            self.loop.call_at(self.loop.now() + int(self._buffer * 1e6), self._played)
+            return
+        wait = max(0.0, self._buffer + self._segment_s - BUFFER_S)
+        self.loop.call_at(self.loop.now() + int(wait * 1e6), self._fetch, "media")
+
+    def _reckon(self) -> None:
+        """Let the buffer run to the present."""
+        now = self.loop.now()
+        if self.report.start_s is not None:
+            passed = (now - self._at) / 1e6
+            shown = min(passed, self._buffer)
+            self.report.played_s += shown
+            self._buffer -= shown
+            if passed - shown > 1e-3:
+                self.report.stalls += 1
+                self.report.stalled_s += passed - shown
+        self._at = now
+
+    def _played(self) -> None:
+        self._reckon()
+        self.report.whole = True
+        url = urlsplit(urljoin(self._base, "end"))
+        address = url.hostname or "", url.port or 80
+        until = self.loop.now() + SEGMENT_TIME
+        self.client.call(address, "POST", url.path, lambda reply: self._finish("played"), deadline=until)
+
+    def _finish(self, reason: str) -> None:
+        if reason != "played" and not self.report.whole:
+            self.report.fault = reason
+        self.report.reason = reason
+        self._done(self.report)
+
+
+def _seconds(text: str | None) -> float:
+    match = re.fullmatch(r"PT(?:([0-9.]+)H)?(?:([0-9.]+)M)?(?:([0-9.]+)S)?", text or "")
+    if not match:
+        return math.inf
+    hours, minutes, seconds = (float(each or 0) for each in match.groups())
+    return hours * 3600 + minutes * 60 + seconds
--- /dev/null
+++ b/mintmast/sources/__init__.py
@@ -0,0 +1,1 @@
+"""Where the list of servers comes from."""
