--- a/mintmast/core/ports.py
+++ b/mintmast/core/ports.py
@@ -69,12 +69,16 @@
     def renew(
         self,
         server: bytes,
-        sessions: tuple[tuple[str, int], ...],
+        sessions: tuple[tuple[str, int, int, float], ...],
         lease: int,
         until: int,
-        done: Callable[[bool, tuple[str, ...], tuple[float, ...]], None],
+        done: Callable[[bool, bool, tuple[str, ...], tuple[float, ...]], None],
     ) -> None:
-        """Renew leases; `done` hears whether it was answered, which are unknown there, and the load."""
+        """Renew leases of (session, epoch, rung, kB a second).
+
+        `done` hears whether it was answered, whether it may have arrived, which are unknown there, and the
+        load.
+        """
 
     def watch(self, server: bytes) -> None:
         """Open the line on which a host tells what happens; its end is told by `lost`."""
--- a/mintmast/core/service.py
+++ b/mintmast/core/service.py
@@ -181,10 +181,13 @@
 
         self.hosts.set_up(order, done)
 
+    def _kb(self, session: int, rung: int) -> float:
+        held = self.book.sessions.get(session)
+        scale = self.settings.classes[held.ask.service].scale if held is not None else 1.0
+        return self.settings.rung_kb[rung] * scale
+
     def _rung(self, command: book.SendRung) -> None:
-        session = self.book.sessions.get(command.session)
-        scale = self.settings.classes[session.ask.service].scale if session is not None else 1.0
-        kb = self.settings.rung_kb[command.rung] * scale
+        kb = self._kb(command.session, command.rung)
         self.hosts.rung(command.server, self.name(command.session), command.epoch, command.rung, kb)
 
     def _end(self, command: book.SendEnd) -> None:
@@ -195,12 +198,15 @@
 
     def _renew(self, command: book.SendRenew) -> None:
         sent = self.loop.now()
-        named = tuple((self.name(session), epoch) for session, epoch in command.sessions)
-        numbers = tuple(session for session, _ in command.sessions)
+        named = tuple(
+            (self.name(session), epoch, rung, self._kb(session, rung))
+            for session, epoch, rung in command.sessions
+        )
+        numbers = tuple(session for session, _, _ in command.sessions)
 
-        def done(answered: bool, unknown: tuple[str, ...], load: tuple[float, ...]) -> None:
+        def done(answered: bool, arrived: bool, unknown: tuple[str, ...], load: tuple[float, ...]) -> None:
             gone = tuple(self.number(each) for each in unknown)
-            self._take(book.Renewed(command.server, sent, answered, numbers, gone, load))
+            self._take(book.Renewed(command.server, sent, answered, arrived, numbers, gone, load))
 
         self.hosts.renew(command.server, named, self.lease, command.until, done)
 
--- a/mintmast/decisions/book.py
+++ b/mintmast/decisions/book.py
@@ -92,11 +92,15 @@
 
 @dataclass(slots=True, frozen=True)
 class Renewed:
-    """A renewal's call is over; `unknown` are those that the host does not hold."""
+    """A renewal's call is over; `unknown` are those that the host does not hold.
+
+    `arrived` is false where it provably never came to the host.
+    """
 
     server: bytes
     sent: int
     answered: bool
+    arrived: bool
     sessions: tuple[int, ...]
     unknown: tuple[int, ...] = ()
     load: tuple[float, ...] = ()
@@ -208,10 +212,10 @@
 
 @dataclass(slots=True, frozen=True)
 class SendRenew:
-    """Renew the leases of these (session, epoch) at a host."""
+    """Renew the leases of these (session, epoch, rung) at a host; the rung mends a lost change."""
 
     server: bytes
-    sessions: tuple[tuple[int, int], ...]
+    sessions: tuple[tuple[int, int, int], ...]
     until: int
 
 
@@ -357,7 +361,7 @@
             if session.out and session.waiting:
                 self._wait(now, session, ask)
                 return
-        if ask.key in self.spent or (session is not None and session.effect is not Effect.FREE):
+        if self.spent.get(ask.key, now) > now or (session is not None and session.effect is not Effect.FREE):
             # The key of a paid session that may have run, or runs for another title: not a second charge.
             self._out.append(Give(ask.ask, Verdict.FAILED, reason="this key has been spent"))
             return
@@ -605,7 +609,8 @@
                 self._ended(now, session, Outcome.SERVED, load)
                 load = ()
                 continue
-            session.lease.renewed(event.sent, now, event.answered)
+            if event.arrived:
+                session.lease.renewed(event.sent, now, event.answered)
 
     def _due(self, now: int, event: Due) -> None:
         match event.token:
@@ -642,8 +647,15 @@
                 self._ended(now, session, Outcome.RESET)  # unreachable for longer than its lease: it is over
         at = self._at.get(server, {})
         every = renew_every(self._lease)
-        if at:
-            sessions = tuple((each.number, each.epoch) for each in at.values())
+        # Danger: a host that answers nothing may still take renewals, so its leases would never be over. Also
+        # guards against answers lost on the way. A lease not surely held any more is left to run out. May
+        # hurt when a host is silent for a lease and then goes on: its sessions have ended.
+        sessions = tuple(
+            (each.number, each.epoch, each.rung)
+            for each in at.values()
+            if each.lease is not None and now < each.lease.sure_until
+        )
+        if sessions:
             self._out.append(SendRenew(server, sessions, now + every))
         self._out.append(Wake(now + every, ("renew", server)))
 
@@ -665,6 +677,9 @@
     def _host_lost(self, now: int, event: HostLost) -> None:
         changed, again = self.watch.lost(now, event.server, event.draw, event.refused)
         self._entries(now, changed)
+        if event.refused:  # no process is there: what played in it is over, and if not, its lease will end it
+            for session in list(self._at.get(event.server, {}).values()):
+                self._ended(now, session, Outcome.RESET)
         if event.server in self._watched:
             self._out.append(Wake(again, ("watch", event.server)))
 
--- a/mintmast/hosts/media.py
+++ b/mintmast/hosts/media.py
@@ -9,7 +9,7 @@
 from urllib.parse import quote
 
 from mintmast.core.ports import HostEvents, Order
-from mintmast.decisions.outcomes import Evidence
+from mintmast.decisions.outcomes import Evidence, may_have_run
 from mintmast.hosts.protocol import LOAD, NEVER_RAN, EventReader, read_load
 from mintmast.http.client import DEFAULT, Address, Call, ClientLimits, Fault, HttpClient, Reply
 from mintmast.http.server import Headers
@@ -122,10 +122,10 @@
     def renew(
         self,
         server: bytes,
-        sessions: tuple[tuple[str, int], ...],
+        sessions: tuple[tuple[str, int, int, float], ...],
         lease: int,
         until: int,
-        done: Callable[[bool, tuple[str, ...], tuple[float, ...]], None],
+        done: Callable[[bool, bool, tuple[str, ...], tuple[float, ...]], None],
     ) -> None:
         """Renew leases."""
 
@@ -137,9 +137,11 @@
                 unknown = (
                     tuple(each for each in told if isinstance(each, str)) if isinstance(told, list) else ()
                 )
-            done(answered, unknown, self._load(reply))
+            arrived = isinstance(reply, Reply) or may_have_run(_EVIDENCE[reply])
+            done(answered, arrived, unknown, self._load(reply))
 
-        body = {"lease_ms": lease // 1000, "sessions": dict(sessions)}
+        told = {name: {"epoch": epoch, "rung": rung, "kb": kb} for name, epoch, rung, kb in sessions}
+        body = {"lease_ms": lease // 1000, "sessions": told}
         self._call(server, "POST", "", ended, until, body, path="/v1/leases")
 
     def watch(self, server: bytes) -> None:
--- a/mintmast/http/server.py
+++ b/mintmast/http/server.py
@@ -21,6 +21,8 @@
 from mintmast.loop import Close, Handler, Loop, Stream, Timer
 
 Headers = list[tuple[str, str]]
+# header lines of one request: browsers send twenty or so
+MOST_FIELDS = 100
 
 
 @dataclass(slots=True, frozen=True)
@@ -169,7 +171,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._queue: deque[Exchange] = deque()
         self._now: Exchange | None = None  # being parsed
-        self._seen = self._size = 0
+        self._seen = self._size = self._head_lines = self._head_size = 0
         self._url = b""
         self._closing = self._over = False
         self._timer: Timer | None = None
@@ -225,6 +227,7 @@
 
     def on_message_begin(self) -> None:
         self._fields, self._body, self._size, self._url = {}, [], 0, b""
+        self._head_lines = self._head_size = 0
 
     def on_url(self, url: bytes) -> None:
         self._url += url
@@ -232,7 +235,9 @@
             raise _BadRequestError(414, "target too long")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if len(self._fields) >= 100 or self._seen > self._server.limits.header_bytes + (1 << 16):
+        self._head_lines += 1
+        self._head_size += len(name) + len(value)
+        if self._head_lines > MOST_FIELDS or self._head_size > self._server.limits.header_bytes:
             raise _BadRequestError(431, "request header too large")
         key = name.decode("latin-1").lower()
         told = value.decode("latin-1")
@@ -250,7 +255,10 @@
             target = self._url.decode("ascii")
         except UnicodeDecodeError:
             raise _BadRequestError(400, "target is not ASCII") from None
-        self._now = Exchange(self, self._parser.get_method().decode("ascii"), target)
+        try:
+            self._now = Exchange(self, self._parser.get_method().decode("ascii"), target)
+        except ValueError:
+            raise _BadRequestError(400, "too many query fields") from None
         if self._fields.get("expect", "").lower() == "100-continue" and self._stream is not None:
             self._stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
--- a/mintmast/lab/standin.py
+++ b/mintmast/lab/standin.py
@@ -296,10 +296,13 @@
         if held is None or body.get("epoch") != held.epoch:
             exchange.problem(404, "no such session")
             return
-        held.rung, held.kb = int(body.get("rung", held.rung)), float(body.get("kb", held.kb))
-        self.record("rung", host=self.name, session=name, rung=held.rung)
+        self._to_rung(held, body)
         exchange.respond(204, self._load())
 
+    def _to_rung(self, held: _Held, told: dict[str, Any]) -> None:
+        held.rung, held.kb = int(told["rung"]), float(told["kb"])
+        self.record("rung", host=self.name, session=held.name, rung=held.rung)
+
     def _end(self, exchange: Exchange, name: str) -> None:
         told = exchange.query.get("epoch", "")
         if not told.isdigit():
@@ -317,12 +320,14 @@
         body = _body(exchange)
         sessions, unknown = body.get("sessions"), []
         lease = int(body.get("lease_ms", 0)) * 1000
-        for name, epoch in sessions.items() if isinstance(sessions, dict) else ():
+        for name, told in sessions.items() if isinstance(sessions, dict) else ():
             held = self.sessions.get(name)
-            if held is None or held.epoch != epoch:
+            if held is None or held.epoch != told["epoch"]:
                 unknown.append(name)
-            else:
-                held.until = self.loop.now() + lease
+                continue
+            held.until = self.loop.now() + lease
+            if held.rung != told["rung"]:
+                self._to_rung(held, told)
         exchange.respond(
             200, [*self._load(), ("Content-Type", "application/json")], _json({"unknown": unknown})
         )
--- /dev/null
+++ b/tests/test_book.py
@@ -0,0 +1,347 @@
+"""The session book alone: rows of the outcome table, hard cases, and random days without a network."""
+
+import random
+
+import pytest
+from helpers import S, box, settings
+from hypothesis import given
+from hypothesis import settings as tries
+from hypothesis import strategies as st
+
+from mintmast import Controller
+from mintmast import interface as api
+from mintmast.decisions import book as b
+from mintmast.decisions.lease import DRIFT, Lease
+from mintmast.decisions.outcomes import TABLE, Evidence
+from mintmast.interface import ServerState
+
+LEASE = 4 * S
+T0 = 1000 * S
+NEVER_RAN = {
+    Evidence.FULL, Evidence.FENCED, Evidence.REFUSED, Evidence.NOT_CONNECTED, Evidence.CUT_UNSENT,
+    Evidence.LATE_UNSENT, Evidence.CALLED_OFF_UNSENT,
+}  # fmt: skip
+
+
+def new_book(servers=4, **changes):
+    controller = Controller(settings(**changes), 1)
+    book = b.SessionBook(controller.settings, controller.handle, LEASE, epoch_base=100)
+    book.start(T0 - 100 * S)
+    book.take(T0 - 100 * S, b.ListNews(api.ListKind.FULL, 1, tuple(box(n) for n in range(servers))))
+    return book
+
+
+def ask(number, service=0, key="", budget=2 * S, title=5):
+    return b.Ask(number, service, 0, title, 0, 4, 3, budget, key)
+
+
+def only(commands, kind):
+    return [each for each in commands if isinstance(each, kind)]
+
+
+def one(commands, kind):
+    found = only(commands, kind)
+    assert len(found) == 1, commands
+    return found[0]
+
+
+@pytest.mark.parametrize("evidence", [each for each in Evidence if each is not Evidence.STARTED])
+def test_each_row_of_the_table_keeps_a_paid_session_from_a_second_set_up(evidence):
+    book = new_book()
+    sent = one(book.take(T0, ask(1)), b.SendSetUp)
+    after = book.take(T0 + 1000, b.SetUpEnded(sent.session, 0, evidence))
+    if evidence in NEVER_RAN:
+        again = one(after, b.SendSetUp)
+        assert again.server != sent.server and again.epoch > sent.epoch
+        assert not only(after, b.SendEnd)
+    else:
+        assert one(after, b.Give).verdict is b.Verdict.FAILED
+        end = one(after, b.SendEnd)
+        assert (end.server, end.epoch) == (sent.server, sent.epoch)
+    assert TABLE[evidence].never_ran is (evidence in NEVER_RAN)
+
+
+def test_a_free_session_goes_on_elsewhere_and_its_lost_attempt_is_ended():
+    book = new_book()
+    sent = one(book.take(T0, ask(1, service=1)), b.SendSetUp)
+    after = book.take(T0 + S, b.SetUpEnded(sent.session, 0, Evidence.SILENT))
+    assert one(after, b.SendSetUp).server != sent.server
+    assert one(after, b.SendEnd).server == sent.server
+
+
+def test_an_answer_in_the_turn_of_the_deadline_is_either_the_answer_or_late_but_never_both():
+    for answer_first in (True, False):
+        book = new_book()
+        sent = one(book.take(T0, ask(1)), b.SendSetUp)
+        started = b.SetUpEnded(sent.session, 0, Evidence.STARTED)
+        late = b.Due(("late", sent.session))
+        first, second = (started, late) if answer_first else (late, started)
+        gives = only(book.take(T0 + 2 * S, first) + book.take(T0 + 2 * S, second), b.Give)
+        assert [each.verdict for each in gives] == [b.Verdict.PLAYS if answer_first else b.Verdict.FAILED]
+        assert book.late == (not answer_first)
+
+
+def test_a_host_that_answers_after_its_attempt_was_given_up_is_told_to_end_it_until_it_confirms():
+    book = new_book()
+    sent = one(book.take(T0, ask(1)), b.SendSetUp)
+    end = one(book.take(T0 + 2 * S, b.SetUpEnded(sent.session, 0, Evidence.SILENT)), b.SendEnd)
+    wake = one(book.take(T0 + 3 * S, b.EndEnded(end.session, end.server, False)), b.Wake)
+    assert one(book.take(wake.at, b.Due(wake.token)), b.SendEnd) == end.__class__(
+        end.session, end.server, end.epoch, wake.at + b.END_TIME
+    )
+    assert book.take(wake.at + 1, b.EndEnded(end.session, end.server, True)) == []
+    assert book.take(wake.at + 2, b.Due(wake.token)) == []
+
+
+def test_two_asks_of_one_key_share_one_set_up_and_both_are_answered():
+    book = new_book()
+    sent = one(book.take(T0, ask(1, key="k")), b.SendSetUp)
+    assert not only(book.take(T0 + 1, ask(2, key="k")), b.SendSetUp)
+    gives = only(book.take(T0 + 2, b.SetUpEnded(sent.session, 0, Evidence.STARTED)), b.Give)
+    assert {each.ask for each in gives} == {1, 2}
+    third = one(book.take(T0 + S, ask(3, key="k")), b.Give)
+    assert (third.verdict, third.session) == (b.Verdict.PLAYS, sent.session)
+
+
+def test_a_paid_key_that_may_have_run_is_not_set_up_again_and_a_refused_one_may_be():
+    book = new_book()
+    sent = one(book.take(T0, ask(1, key="k")), b.SendSetUp)
+    book.take(T0 + 1, b.SetUpEnded(sent.session, 0, Evidence.CUT))
+    assert one(book.take(T0 + 2, ask(2, key="k")), b.Give).verdict is b.Verdict.FAILED
+    assert one(book.take(T0 + b.KEY_KEPT + 2 * S, ask(3, key="k")), b.SendSetUp)
+    empty = new_book(servers=0)
+    assert one(empty.take(T0, ask(1, key="k")), b.Give).verdict is b.Verdict.REFUSED
+    assert one(empty.take(T0, ask(2, key="k")), b.Give).verdict is b.Verdict.REFUSED
+
+
+def test_a_viewer_who_leaves_has_his_set_up_called_off_and_ended():
+    book = new_book()
+    sent = one(book.take(T0, ask(1, key="k")), b.SendSetUp)
+    after = book.take(T0 + 1, b.AskGone(1))
+    assert one(after, b.CallOff).session == sent.session
+    assert one(after, b.SendEnd).epoch == sent.epoch
+    assert book.take(T0 + 2, b.SetUpEnded(sent.session, 0, Evidence.STARTED)) == []
+    assert book.late == 1 and not book.sessions
+
+
+def playing(book, number=1, now=T0, service=1):
+    sent = one(book.take(now, ask(number, service=service)), b.SendSetUp)
+    book.take(now + 1000, b.SetUpEnded(sent.session, 0, Evidence.STARTED))
+    return sent
+
+
+def test_leases_are_renewed_while_answered_and_left_to_run_out_at_a_silent_host():
+    book = new_book()
+    sent = playing(book)
+    now, renewals = T0 + 1000, 0
+    while sent.session in book.sessions and now < T0 + 60 * S:
+        now += LEASE // 3
+        commands = book.take(now, b.Due(("renew", sent.server)))
+        for renew in only(commands, b.SendRenew):
+            renewals += 1
+            answered = renewals <= 5
+            now += 1000
+            numbers = tuple(each[0] for each in renew.sessions)
+            book.take(now, b.Renewed(sent.server, now - 1000, answered, True, numbers))
+    # five answered, then two more may have arrived unheard: over at most a lease after the last of these
+    assert 7 <= renewals <= 9 and sent.session not in book.sessions
+    assert now >= T0 + (renewals + 2) * LEASE // 3
+
+
+def test_a_host_that_refuses_connections_is_gone_until_it_says_hello_and_its_sessions_are_over():
+    book = new_book(servers=1)
+    sent = playing(book)
+    book.take(T0 + S, b.HostHello(sent.server, "p1", None, False))
+    book.take(T0 + 2 * S, b.HostLost(sent.server, 0.5, refused=True))
+    assert sent.session not in book.sessions
+    assert one(book.take(T0 + 3 * S, ask(2, service=1)), b.Give).verdict is b.Verdict.REFUSED
+    book.take(T0 + 4 * S, b.HostHello(sent.server, "p2", 10_000, False))
+    # back and cold: the cold pace of the module holds, as its start is known
+    counts = [len(only(book.take(T0 + 4 * S + n, ask(10 + n, service=1)), b.SendSetUp)) for n in range(30)]
+    assert 1 <= sum(counts) <= 4
+
+
+def test_a_drain_told_by_the_host_stops_set_ups_at_once_and_the_list_cannot_take_it_back():
+    book = new_book(servers=1)
+    server = box(0).server
+    book.take(T0, b.HostDrain(server, True))
+    book.take(T0 + 1, b.ListNews(api.ListKind.FULL, 2, (box(0),)))
+    assert one(book.take(T0 + 2, ask(1)), b.Give).verdict is b.Verdict.REFUSED
+    book.take(T0 + 3, b.HostDrain(server, False))
+    assert one(book.take(T0 + 4, ask(2)), b.SendSetUp)
+    book.take(T0 + 5, b.ListNews(api.ListKind.FULL, 3, (box(0, ServerState.DRAINING),)))
+    assert one(book.take(T0 + 6, ask(3)), b.Give).verdict is b.Verdict.REFUSED
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 5 * S), st.booleans(), st.booleans()), max_size=12), st.integers(0, 99)
+)
+def test_lease_is_held_and_over_whatever_the_clocks_and_calls_do(calls, percent):
+    """A host on a clock off by up to the drift, renewed at any moment of each call."""
+    rate = 1 + (percent / 99 - 0.5) * 2 * DRIFT * 0.99
+    lease = Lease(LEASE, T0, T0 + 100)
+    draw, now, ends = random.Random(percent), T0 + 100, draw_end(T0, T0 + 100, rate, percent)
+    for gap, answered, came in calls:
+        sent, now = now + gap, now + gap + 50_000
+        if came or answered:
+            ends = max(ends, draw_end(sent, now, rate, draw.randrange(100)))
+        lease.renewed(sent, now, answered)
+    assert lease.sure_until <= ends <= lease.over_at
+
+
+def draw_end(sent, ended, rate, percent):
+    return sent + (ended - sent) * percent // 100 + int(LEASE * rate)
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            [
+                "ask",
+                "ask",
+                "ask",
+                "again",
+                "gone",
+                "start",
+                "fail",
+                "fail",
+                "wait",
+                "lost",
+                "hello",
+                "drain",
+                "over",
+            ]
+        ),
+        st.integers(0, 10**6),
+    ),
+    max_size=120,
+)
+
+
+@tries(max_examples=150, deadline=None)
+@given(EVENTS, st.integers(0, 3))
+def test_random_days_keep_one_answer_one_attempt_and_no_second_paid_set_up(events, seed):
+    budget = api.AttemptBudget(5 * S, 2, 0.2)
+    book = new_book(servers=5, budget=budget, must_subscribe=bool(seed % 2))
+    world = Fake(book)
+    for what, draw in events:
+        world.step(what, draw)
+    for _ in range(300):  # let everything run out
+        world.step("wait", 250_000)
+    world.finished()
+
+
+class Fake:
+    """Hosts and viewers as a random day has them; what the book sends is checked as it is sent."""
+
+    def __init__(self, book):
+        self.book, self.now, self.asks = book, T0, 0
+        self.out, self.wakes, self.answered, self.deadline = {}, [], {}, {}
+        self.may_have_run, self.paid, self.left, self.held = set(), {}, set(), {}
+        self.key_ran = {}
+
+    def take(self, event):
+        for command in self.book.take(self.now, event):
+            match command:
+                case b.SendSetUp(session, attempt, server, _, epoch, until, ask):
+                    assert session not in self.out, "two attempts out"
+                    paid = ask.service == 0
+                    assert not (paid and session in self.may_have_run), "paid session sent again"
+                    assert not (paid and self.key_ran.get(ask.key)), "paid key sent again"
+                    assert until <= self.deadline[ask.ask]
+                    self.out[session] = (attempt, server, epoch, until, ask)
+                    self.held[session, server] = epoch
+                case b.CallOff(session, _):
+                    self.out.pop(session, None)
+                case b.SendEnd(session, server, epoch):
+                    if self.held.get((session, server), 0) <= epoch:
+                        self.held.pop((session, server), None)
+                    self.wakes.append((self.now + 1000, b.EndEnded(session, server, bool(epoch % 3))))
+                case b.Give(number, verdict, session):
+                    assert number not in self.answered, "second answer"
+                    assert number not in self.left, "answer to a viewer who left"
+                    assert self.now <= self.deadline[number] + b.BACKSTOP, "late answer"
+                    self.answered[number] = verdict
+                    if verdict is b.Verdict.REFUSED:
+                        assert not (self.paid[number] and session in self.may_have_run)
+                case b.Wake(at, token):
+                    self.wakes.append((at, b.Due(token)))
+                case b.SendRenew(server, sessions):
+                    numbers = tuple(each[0] for each in sessions)
+                    self.wakes.append((self.now + 1000, b.Renewed(server, self.now, True, True, numbers)))
+
+    def step(self, what, draw):
+        if what in ("ask", "again"):
+            self.asks += 1
+            service, key = draw % 2, f"k{draw % 7}" if what == "again" else ""
+            self.paid[self.asks] = service == 0
+            self.deadline[self.asks] = self.now + 2 * S
+            self.take(
+                b.Ask(self.asks, service, 0, draw % 3, 0, 4, 3, 2 * S, f"{service}{key}" if key else "")
+            )
+        elif what == "gone" and self.asks:
+            number = draw % self.asks + 1
+            if number not in self.answered:
+                self.left.add(number)
+                self.take(b.AskGone(number))
+        elif what in ("start", "fail") and self.out:
+            session = sorted(self.out)[draw % len(self.out)]
+            attempt, server, epoch, _, ask = self.out.pop(session)
+            kinds = sorted(TABLE, key=lambda each: each.value)
+            evidence = Evidence.STARTED if what == "start" else kinds[draw % len(kinds)]
+            self.end(session, attempt, server, ask, evidence)
+        elif what == "over" and self.book.sessions:
+            session = sorted(self.book.sessions)[draw % len(self.book.sessions)]
+            for server in [box(n).server for n in range(5)]:
+                if session not in self.out:
+                    self.held.pop((session, server), None)
+                    self.take(b.SessionEnded(server, session))
+        elif what == "lost":
+            if draw % 3:
+                self.died(box(draw % 5).server)
+            self.take(b.HostLost(box(draw % 5).server, 0.5, bool(draw % 3)))
+        elif what == "hello":
+            self.died(box(draw % 5).server)
+            self.take(b.HostHello(box(draw % 5).server, f"p{self.asks}", 0, not draw % 5))
+        elif what == "drain":
+            self.take(b.HostDrain(box(draw % 5).server, bool(draw % 2)))
+        elif what == "wait":
+            self.wait(self.now + draw)
+
+    def died(self, server):
+        """What plays in a process ends with it; set-ups on their way may find the next one."""
+        for session, place in list(self.held):
+            if place == server and session not in self.out:
+                del self.held[session, place]
+
+    def end(self, session, attempt, server, ask, evidence):
+        if evidence not in NEVER_RAN:
+            self.may_have_run.add(session)
+            if ask.key:
+                self.key_ran[ask.key] = True
+        else:
+            self.held.pop((session, server), None)
+        self.take(b.SetUpEnded(session, attempt, evidence))
+
+    def wait(self, until):
+        while True:
+            due = [(until_, s) for s, (_, _, _, until_, _) in self.out.items() if until_ <= until]
+            wakes = [at for at, _ in self.wakes if at <= until]
+            if not due and not wakes:
+                break
+            if due and (not wakes or min(due)[0] <= min(wakes)):
+                self.now, session = max(self.now, min(due)[0]), min(due)[1]
+                attempt, server, _, _, ask = self.out.pop(session)
+                self.end(session, attempt, server, ask, Evidence.SILENT)
+                continue
+            self.wakes.sort(key=lambda each: each[0])
+            at, event = self.wakes.pop(0)
+            self.now = max(self.now, at)
+            self.take(event)
+        self.now = max(self.now, until)
+
+    def finished(self):
+        assert set(self.answered) | self.left == set(range(1, self.asks + 1)), "an ask without an answer"
+        assert not self.out
+        held = {session for session, _ in self.held}
+        assert held <= set(self.book.sessions), "a host holds a session that nobody ends"
