--- a/mintmast/cli/__init__.py
+++ b/mintmast/cli/__init__.py
@@ -147,11 +147,16 @@
 @click.option("--jobs", type=click.IntRange(1, 64), default=1, show_default=True, help="Days played at once.")
 @click.option("--mutate", default=None, help="Build a named fault into the gateway; the drill must fail.")
 @click.option("--json", "as_json", is_flag=True, help="Print a JSON report a line.")
-def drill(name: str, seed: int, seeds: int, net: str, jobs: int, mutate: str | None, as_json: bool) -> None:
+@click.option(
+    "--keep", type=click.Path(exists=True, file_okay=False), help="Write what was seen to this folder."
+)
+def drill(
+    name: str, seed: int, seeds: int, net: str, jobs: int, mutate: str | None, as_json: bool, keep: str | None
+) -> None:
     """Play the scripted day NAME and check the rules from what passed on the sockets."""
     from mintmast.cli.drill import drill as run
 
-    sys.exit(run(name, seed, seeds, net, jobs, mutate, as_json))
+    sys.exit(run(name, seed, seeds, net, jobs, mutate, as_json, keep))
 
 
 @main.command()
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -75,3 +75,5 @@
     assert audit(both, terms).broken["set_up_once"]
     seats = [row(1, "ran", **ran, epoch=1), row(2, "ran", **{**ran, "session": "s2", "key": "k2"}, epoch=2)]
     assert audit(seats, terms).broken["terms"]
+    over = {"host": "h", "session": "s", "epoch": 1, "why": "lease over"}
+    assert not audit([seats[0], row(9, "session_over", **over, since=2), seats[1]], terms).broken["terms"]
