--- a/mintmast/core/ports.py
+++ b/mintmast/core/ports.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
+
 from mintmast.decisions import book
 from mintmast.decisions.outcomes import Evidence
 from mintmast.interface import ListEntry, ListKind, NoteKind
 
 
-@dataclass(slots=True, frozen=True)
-class Order:
+class Order(msgspec.Struct, frozen=True, gc=False):
     """A set-up as a host is asked for it; rates in kB a second, times in microseconds."""
 
     session: str
--- a/mintmast/core/service.py
+++ b/mintmast/core/service.py
@@ -4,7 +4,9 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
+
+import msgspec
 
 from mintmast import interface as api
 from mintmast.core.ports import AnswerTo, HostPort, ListSource, Order
@@ -99,7 +101,7 @@
         self.stats["asked"] += 1
         number = self._count
         self._asked[number] = _Asked(answer, self.loop.now())
-        self._take(replace(ask, ask=number))
+        self._take(msgspec.structs.replace(ask, ask=number))
         return number
 
     def gone(self, ask: int) -> None:
--- a/mintmast/decisions/book.py
+++ b/mintmast/decisions/book.py
@@ -16,6 +16,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+import msgspec
+
 from mintmast import interface as api
 from mintmast.decisions.hostwatch import HostWatch
 from mintmast.decisions.lease import Lease, renew_every
@@ -46,8 +48,7 @@
 # Inputs
 
 
-@dataclass(slots=True, frozen=True)
-class Ask:
+class Ask(msgspec.Struct, frozen=True, gc=False):
     """A viewer asks; he waits `budget` µs, and `key` stays with him over his tries ("" for none)."""
 
     ask: int
@@ -64,15 +65,13 @@
     again: bool = False
 
 
-@dataclass(slots=True, frozen=True)
-class AskGone:
+class AskGone(msgspec.Struct, frozen=True, gc=False):
     """The viewer waits no more."""
 
     ask: int
 
 
-@dataclass(slots=True, frozen=True)
-class SetUpEnded:
+class SetUpEnded(msgspec.Struct, frozen=True, gc=False):
     """What was seen of a set-up; once for each sent."""
 
     session: int
@@ -81,8 +80,7 @@
     load: tuple[float, ...] = ()
 
 
-@dataclass(slots=True, frozen=True)
-class EndEnded:
+class EndEnded(msgspec.Struct, frozen=True, gc=False):
     """A try to end a session at a host is over; `sure` says that the host holds it no more."""
 
     session: int
@@ -90,8 +88,7 @@
     sure: bool
 
 
-@dataclass(slots=True, frozen=True)
-class Renewed:
+class Renewed(msgspec.Struct, frozen=True, gc=False):
     """A renewal's call is over; `unknown` are those that the host does not hold.
 
     `arrived` is false where it provably never came to the host.
@@ -106,16 +103,14 @@
     load: tuple[float, ...] = ()
 
 
-@dataclass(slots=True, frozen=True)
-class SessionEnded:
+class SessionEnded(msgspec.Struct, frozen=True, gc=False):
     """A host tells that a session is over there."""
 
     server: bytes
     session: int
 
 
-@dataclass(slots=True, frozen=True)
-class HostHello:
+class HostHello(msgspec.Struct, frozen=True, gc=False):
     """The line to a host stands; `age` is how long its process has run in µs, None for not told."""
 
     server: bytes
@@ -124,8 +119,7 @@
     drains: bool
 
 
-@dataclass(slots=True, frozen=True)
-class HostLost:
+class HostLost(msgspec.Struct, frozen=True, gc=False):
     """The line to a host broke or was not to be had; `draw` is a random number from 0 to 1."""
 
     server: bytes
@@ -133,16 +127,14 @@
     refused: bool = False
 
 
-@dataclass(slots=True, frozen=True)
-class HostDrain:
+class HostDrain(msgspec.Struct, frozen=True, gc=False):
     """A host tells that it drains, or drains no more."""
 
     server: bytes
     drains: bool
 
 
-@dataclass(slots=True, frozen=True)
-class HostNote:
+class HostNote(msgspec.Struct, frozen=True, gc=False):
     """A host tells a share delivered or the use of its link or uplink."""
 
     server: bytes
@@ -150,8 +142,7 @@
     value: float
 
 
-@dataclass(slots=True, frozen=True)
-class ListNews:
+class ListNews(msgspec.Struct, frozen=True, gc=False):
     """News from the list of servers."""
 
     kind: ListKind
@@ -159,8 +150,7 @@
     entries: tuple[api.ListEntry, ...] = ()
 
 
-@dataclass(slots=True, frozen=True)
-class Due:
+class Due(msgspec.Struct, frozen=True, gc=False):
     """A `Wake` has come."""
 
     token: tuple
@@ -169,8 +159,7 @@
 # Commands
 
 
-@dataclass(slots=True, frozen=True)
-class SendSetUp:
+class SendSetUp(msgspec.Struct, frozen=True, gc=False):
     """Set a session up; its end is told by `SetUpEnded`, by `until` at the latest."""
 
     session: int
@@ -182,16 +171,14 @@
     ask: Ask
 
 
-@dataclass(slots=True, frozen=True)
-class CallOff:
+class CallOff(msgspec.Struct, frozen=True, gc=False):
     """Break off a set-up; no `SetUpEnded` need follow."""
 
     session: int
     attempt: int
 
 
-@dataclass(slots=True, frozen=True)
-class SendRung:
+class SendRung(msgspec.Struct, frozen=True, gc=False):
     """Tell a host the rung of a session that plays."""
 
     session: int
@@ -200,8 +187,7 @@
     epoch: int
 
 
-@dataclass(slots=True, frozen=True)
-class SendEnd:
+class SendEnd(msgspec.Struct, frozen=True, gc=False):
     """End a session at a host, with all its epochs up to this one, also those that have not arrived yet."""
 
     session: int
@@ -210,8 +196,7 @@
     until: int
 
 
-@dataclass(slots=True, frozen=True)
-class SendRenew:
+class SendRenew(msgspec.Struct, frozen=True, gc=False):
     """Renew the leases of these (session, epoch, rung) at a host; the rung mends a lost change."""
 
     server: bytes
@@ -219,22 +204,19 @@
     until: int
 
 
-@dataclass(slots=True, frozen=True)
-class Watch:
+class Watch(msgspec.Struct, frozen=True, gc=False):
     """Open the line to a host."""
 
     server: bytes
 
 
-@dataclass(slots=True, frozen=True)
-class Unwatch:
+class Unwatch(msgspec.Struct, frozen=True, gc=False):
     """Close the line to a host that is gone."""
 
     server: bytes
 
 
-@dataclass(slots=True, frozen=True)
-class Give:
+class Give(msgspec.Struct, frozen=True, gc=False):
     """Answer an ask. `advice` is in µs; `reason` a short word for logs and problem details."""
 
     ask: int
@@ -247,23 +229,20 @@
     reason: str = ""
 
 
-@dataclass(slots=True, frozen=True)
-class Wake:
+class Wake(msgspec.Struct, frozen=True, gc=False):
     """Hand in `Due(token)` at `at`."""
 
     at: int
     token: tuple
 
 
-@dataclass(slots=True, frozen=True)
-class AskList:
+class AskList(msgspec.Struct, frozen=True, gc=False):
     """Ask the sources of the list for all of it, or (with `standing`) for its changes."""
 
     standing: bool = False
 
 
-@dataclass(slots=True, frozen=True)
-class Say:
+class Say(msgspec.Struct, frozen=True, gc=False):
     """A line for the log."""
 
     event: str
--- a/mintmast/fronts/tokens.py
+++ b/mintmast/fronts/tokens.py
@@ -5,11 +5,11 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from typing import Any
 
 import jwt
+import msgspec
 
 # bytes; a token longer than this is not looked at: real ones are a few hundred
 MAX_TOKEN = 4096
@@ -45,7 +45,7 @@
         try:
             # the library's look at the header decodes the whole token once more; only the name is needed
             # here, and what it names decides key and algorithm before anything of the token is believed
-            header = json.loads(jwt.utils.base64url_decode(token.partition(".")[0]))
+            header = msgspec.json.decode(jwt.utils.base64url_decode(token.partition(".")[0]))
             kid = header.get("kid") if isinstance(header, dict) else None
             if not isinstance(kid, str) or kid not in self.keys:
                 raise TokenError("the token's key is not known")
@@ -59,7 +59,7 @@
             )
         except jwt.PyJWTError as error:
             raise TokenError(f"the token is not good: {error}") from None
-        except (ValueError, TypeError, RecursionError):
+        except (ValueError, TypeError, msgspec.DecodeError, RecursionError):
             raise TokenError("the token is malformed") from None
         for name in ("exp", "nbf"):
             if name in claims and (
--- a/mintmast/hosts/media.py
+++ b/mintmast/hosts/media.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import json
 import math
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote
 
+import msgspec
+
 from mintmast.core.ports import HostEvents, Order
 from mintmast.decisions.outcomes import Evidence, may_have_run
 from mintmast.hosts.protocol import LOAD, NEVER_RAN, EventReader, read_load
@@ -179,15 +180,15 @@
         data = b""
         headers = headers or []
         if body is not None:
-            data = json.dumps(body, separators=(",", ":")).encode()
+            data = msgspec.json.encode(body)
             headers = [*headers, ("Content-Type", "application/json")]
         return self.client.call(address_of(server), method, path + target, done, headers, data, until)
 
 
 def _read(body: bytes) -> dict[str, Any]:
     try:
-        value = json.loads(body)
-    except (ValueError, RecursionError):
+        value = msgspec.json.decode(body)
+    except (msgspec.DecodeError, RecursionError):
         return {}
     return value if isinstance(value, dict) else {}
 
--- a/mintmast/hosts/protocol.py
+++ b/mintmast/hosts/protocol.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import json
 import math
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
+
 # reply field of a host that did not run the set-up: `full`, `draining` or `fenced`
 NEVER_RAN = "Mintmast-Never-Ran"
 LOAD = "endpoint-load-metrics"
@@ -16,7 +17,7 @@
 
 def load_header(use: dict[str, float]) -> str:
     """Give the ORCA header's value in its JSON form."""
-    return "JSON " + json.dumps({"named_metrics": use}, separators=(",", ":"))
+    return "JSON " + msgspec.json.encode({"named_metrics": use}).decode()
 
 
 def read_load(value: str, fields: tuple[str, ...]) -> tuple[float, ...]:
@@ -25,14 +26,14 @@
     told: dict[str, Any] = {}
     try:
         if form == "JSON":
-            body = json.loads(rest)
+            body = msgspec.json.decode(rest)
             named = body.get("named_metrics", {}) if isinstance(body, dict) else {}
             told = named if isinstance(named, dict) else {}
         elif form == "TEXT":
             for part in rest.split(","):
                 name, _, number = part.strip().partition("=")
                 told[name.removeprefix("named_metrics.")] = float(number)
-    except (ValueError, RecursionError):
+    except (ValueError, msgspec.DecodeError, RecursionError):
         return ()
     load = []
     for name in fields:
@@ -45,7 +46,7 @@
 
 def event(kind: str, **fields: Any) -> bytes:
     """Give one server-sent event."""
-    return f"event: {kind}\ndata: {json.dumps(fields, separators=(',', ':'))}\n\n".encode()
+    return b"event: %b\ndata: %b\n\n" % (kind.encode(), msgspec.json.encode(fields))
 
 
 class EventReader:
@@ -71,8 +72,8 @@
                 if not text:
                     continue
                 try:
-                    fields = json.loads(text)
-                except (ValueError, RecursionError):
+                    fields = msgspec.json.decode(text)
+                except (msgspec.DecodeError, RecursionError):
                     return False
                 if not isinstance(fields, dict):
                     return False
