--- a/mintmast/core/ports.py
+++ b/mintmast/core/ports.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from mintmast.decisions import book
+from mintmast.decisions.book import Told
 from mintmast.decisions.outcomes import Evidence
 from mintmast.interface import ListEntry, ListKind, NoteKind
 
@@ -27,13 +28,18 @@
     paid: bool
     key: str
     until: int  # time of the loop's clock at which the attempt is given up
+    number: int  # of the call, among those that give leases
+    clock: int  # reading of the host's clock that the lease counts from, -1 for none
 
 
 class HostEvents(Protocol):
     """What a host tells by itself, as the core hears it."""
 
-    def hello(self, server: bytes, process: str, age: int | None, drains: bool) -> None:
-        """Take the first word on a new line; `age` in microseconds."""
+    def hello(self, server: bytes, process: str, age: int | None, drains: bool, clock: int) -> None:
+        """Take the first word on a new line; `age` and `clock` in microseconds, `clock` -1 for none."""
+
+    def tick(self, server: bytes, clock: int) -> None:
+        """Take a sign of life with a reading of the host's clock."""
 
     def lost(self, server: bytes, refused: bool) -> None:
         """Take the end of a line, or a try in vain."""
@@ -54,7 +60,7 @@
     def attach(self, events: HostEvents) -> None:
         """Tell who hears what hosts say."""
 
-    def set_up(self, order: Order, done: Callable[[Evidence, tuple[float, ...]], None]) -> None:
+    def set_up(self, order: Order, done: Callable[[Evidence, Told], None]) -> None:
         """Ask a host for a session; by `order.until` at the latest the evidence is told."""
 
     def call_off(self, session: str, attempt: int) -> None:
@@ -72,7 +78,9 @@
         sessions: tuple[tuple[str, int, int, float], ...],
         lease: int,
         until: int,
-        done: Callable[[bool, bool, tuple[str, ...], tuple[float, ...]], None],
+        number: int,
+        clock: int,
+        done: Callable[[bool, bool, tuple[str, ...], Told], None],
     ) -> None:
         """Renew leases of (session, epoch, rung, kB a second).
 
--- a/mintmast/core/service.py
+++ b/mintmast/core/service.py
@@ -112,10 +112,14 @@
 
     # Hosts
 
-    def hello(self, server: bytes, process: str, age: int | None, drains: bool) -> None:
+    def hello(self, server: bytes, process: str, age: int | None, drains: bool, clock: int) -> None:
         """Take a host's first word."""
         self.say("host_up", host=server.decode(), process=process, age=age, drains=drains)
-        self._take(book.HostHello(server, process, age, drains))
+        self._take(book.HostHello(server, process, age, drains, clock))
+
+    def tick(self, server: bytes, clock: int) -> None:
+        """Take a sign of life."""
+        self._take(book.HostTick(server, clock))
 
     def lost(self, server: bytes, refused: bool) -> None:
         """Take the end of a line."""
@@ -166,11 +170,13 @@
             service.effect is api.Effect.SINGLE_SHOT,
             ask.key,
             command.until,
+            command.number,
+            command.clock,
         )
 
         sent = self.loop.now()
 
-        def done(evidence: Evidence, load: tuple[float, ...]) -> None:
+        def done(evidence: Evidence, told: book.Told) -> None:
             self.say(
                 "attempt",
                 session=order.session,
@@ -179,7 +185,7 @@
                 evidence=evidence.value,
                 took_ms=(self.loop.now() - sent) / 1000,
             )
-            self._take(book.SetUpEnded(command.session, command.attempt, evidence, load))
+            self._take(book.SetUpEnded(command.session, command.attempt, evidence, told))
 
         self.hosts.set_up(order, done)
 
@@ -206,11 +212,14 @@
         )
         numbers = tuple(session for session, _, _ in command.sessions)
 
-        def done(answered: bool, arrived: bool, unknown: tuple[str, ...], load: tuple[float, ...]) -> None:
+        def done(answered: bool, arrived: bool, unknown: tuple[str, ...], told: book.Told) -> None:
             gone = tuple(self.number(each) for each in unknown)
-            self._take(book.Renewed(command.server, sent, answered, arrived, numbers, gone, load))
+            call = command.number
+            self._take(book.Renewed(command.server, sent, call, answered, arrived, numbers, gone, told))
 
-        self.hosts.renew(command.server, named, self.lease, command.until, done)
+        self.hosts.renew(
+            command.server, named, self.lease, command.until, command.number, command.clock, done
+        )
 
     def _give(self, command: book.Give) -> None:
         asked = self._asked.pop(command.ask, None)
--- a/mintmast/decisions/book.py
+++ b/mintmast/decisions/book.py
@@ -20,7 +20,7 @@
 
 from mintmast import interface as api
 from mintmast.decisions.hostwatch import HostWatch
-from mintmast.decisions.lease import Lease, renew_every
+from mintmast.decisions.lease import HostClock, Lease, renew_every
 from mintmast.decisions.outcomes import TABLE, Evidence, may_have_run
 from mintmast.interface import Effect, ListKind, Outcome
 
@@ -71,13 +71,23 @@
     ask: int
 
 
+class Told(msgspec.Struct, frozen=True, gc=False):
+    """What a host's word carries beside its matter: its load, a reading of its clock (µs, -1 for none)."""
+
+    load: tuple[float, ...] = ()
+    clock: int = -1
+
+
+NOTHING = Told()
+
+
 class SetUpEnded(msgspec.Struct, frozen=True, gc=False):
     """What was seen of a set-up; once for each sent."""
 
     session: int
     attempt: int
     evidence: Evidence
-    load: tuple[float, ...] = ()
+    told: Told = NOTHING
 
 
 class EndEnded(msgspec.Struct, frozen=True, gc=False):
@@ -96,11 +106,12 @@
 
     server: bytes
     sent: int
+    number: int
     answered: bool
     arrived: bool
     sessions: tuple[int, ...]
     unknown: tuple[int, ...] = ()
-    load: tuple[float, ...] = ()
+    told: Told = NOTHING
 
 
 class SessionEnded(msgspec.Struct, frozen=True, gc=False):
@@ -117,6 +128,14 @@
     process: str
     age: int | None
     drains: bool
+    clock: int = -1
+
+
+class HostTick(msgspec.Struct, frozen=True, gc=False):
+    """A host's sign of life, with a reading of its clock in µs."""
+
+    server: bytes
+    clock: int
 
 
 class HostLost(msgspec.Struct, frozen=True, gc=False):
@@ -169,6 +188,8 @@
     epoch: int
     until: int
     ask: Ask
+    number: int
+    clock: int
 
 
 class CallOff(msgspec.Struct, frozen=True, gc=False):
@@ -202,6 +223,8 @@
     server: bytes
     sessions: tuple[tuple[int, int, int], ...]
     until: int
+    number: int
+    clock: int
 
 
 class Watch(msgspec.Struct, frozen=True, gc=False):
@@ -293,6 +316,8 @@
         self._at: dict[bytes, dict[int, _Session]] = {}
         self._ending: dict[tuple[int, bytes], tuple[int, int]] = {}  # epoch, when its lease is surely over
         self._renewing: set[bytes] = set()
+        self._clocks: dict[bytes, HostClock] = {}
+        self._calls = 0  # calls that give leases are numbered, so that a host can pass over old ones
         self._number = self._version = 0
         self._watched: set[bytes] = set()
         self._out: list[Command] = []
@@ -306,6 +331,7 @@
             SessionEnded: self._session_ended,
             HostHello: self._hello,
             HostLost: self._host_lost,
+            HostTick: lambda now, e: self._heard(now, e.server, e.clock, None),
             HostDrain: lambda now, e: self._entries(now, self.watch.drain(e.server, e.drains)),
             HostNote: self._note,
             ListNews: self._list,
@@ -478,12 +504,38 @@
         session.server, session.epoch, session.out, session.sent_at = server, self._epoch, True, now
         session.attempts += 1
         until = min(timeout_at or session.deadline, session.deadline)
+        session.lease = Lease()
+        number, clock = self._lease_call(now, server, [session])
         self._out.append(
             SendSetUp(
-                session.number, session.attempts - 1, server, session.rung, session.epoch, until, session.ask
+                session.number,
+                session.attempts - 1,
+                server,
+                session.rung,
+                session.epoch,
+                until,
+                session.ask,
+                number,
+                clock,
             )
         )
 
+    def _lease_call(self, now: int, server: bytes, sessions: list[_Session]) -> tuple[int, int]:
+        """Book a call that gives these sessions a lease; give its number and the reading that it names."""
+        self._calls += 1
+        clock = self._clocks.get(server)
+        for session in sessions:
+            if session.lease is not None:
+                session.lease.asked(self._calls, now, self._lease, clock)
+        return self._calls, clock.reading if clock is not None else -1
+
+    def _heard(self, now: int, server: bytes, reading: int, asked: int | None) -> None:
+        if reading >= 0:
+            clock = self._clocks.get(server)
+            if clock is None:
+                clock = self._clocks[server] = HostClock()
+            clock.heard(reading, now, asked)
+
     def _cancel(self, now: int, request: int, attempt: int) -> api.Event | None:
         session = self.sessions.get(request)
         if session is None or not session.out or session.attempts - 1 != attempt or session.server is None:
@@ -498,6 +550,8 @@
 
     def _set_up_ended(self, now: int, event: SetUpEnded) -> None:
         session = self.sessions.get(event.session)
+        if session is not None and session.server is not None:
+            self._heard(now, session.server, event.told.clock, session.sent_at)
         if session is None or not session.out or session.attempts - 1 != event.attempt:
             self.late += event.evidence is Evidence.STARTED
             return  # given up before: its end at the host is under way since then
@@ -509,14 +563,14 @@
         session.out = False
         session.may_have_run = session.may_have_run or not row.never_ran
         if row.outcome is None:
-            self._started(now, session, server, took, event.load)
+            self._started(now, session, server, took, event.told.load)
             return
         if may_have_run(event.evidence):
             self._end_at(now, session, server)
         over = not session.waiting
         self._feed(
             now,
-            api.AttemptEnd(session.number, event.attempt, server, row.outcome, took, over, event.load),
+            api.AttemptEnd(session.number, event.attempt, server, row.outcome, took, over, event.told.load),
         )
         if session.number in self.sessions and not session.out:
             self._close(now, session, Verdict.FAILED, reason="over")
@@ -531,7 +585,8 @@
             self._feed(now, api.AttemptEnd(number, attempt, server, Outcome.SERVED, took, True, load))
             return
         session.playing = True
-        session.lease = Lease(self._lease, session.sent_at, now)
+        if session.lease is not None:
+            session.lease.answered(session.lease.calls[-1].number)
         at = self._at.setdefault(server, {})
         at[number] = session
         if server not in self._renewing:
@@ -562,7 +617,7 @@
 
     def _end_at(self, now: int, session: _Session, server: bytes) -> None:
         """See to it that the host holds the session no more, unless it never could."""
-        over_at = session.lease.over_at if session.lease is not None else Lease(self._lease, now, now).over_at
+        over_at = session.lease.over_at if session.lease is not None else now
         self._ending[session.number, server] = session.epoch, max(over_at, now + self._lease)
         self._out.append(SendEnd(session.number, server, session.epoch, now + END_TIME))
 
@@ -579,7 +634,9 @@
     def _renewed(self, now: int, event: Renewed) -> None:
         at = self._at.get(event.server, {})
         unknown = set(event.unknown) if event.answered else set()
-        load = event.load
+        load = event.told.load
+        if event.answered:
+            self._heard(now, event.server, event.told.clock, event.sent)
         for number in event.sessions:
             session = at.get(number)
             if session is None or session.lease is None:
@@ -588,8 +645,10 @@
                 self._ended(now, session, Outcome.SERVED, load)
                 load = ()
                 continue
-            if event.arrived:
-                session.lease.renewed(event.sent, now, event.answered)
+            if event.answered:
+                session.lease.answered(event.number)
+            elif not event.arrived:
+                session.lease.never_came(event.number)
 
     def _due(self, now: int, event: Due) -> None:
         match event.token:
@@ -629,13 +688,11 @@
         # Danger: a host that answers nothing may still take renewals, so its leases would never be over. Also
         # guards against answers lost on the way. A lease not surely held any more is left to run out. May
         # hurt when a host is silent for a lease and then goes on: its sessions have ended.
-        sessions = tuple(
-            (each.number, each.epoch, each.rung)
-            for each in at.values()
-            if each.lease is not None and now < each.lease.sure_until
-        )
-        if sessions:
-            self._out.append(SendRenew(server, sessions, now + every))
+        held = [each for each in at.values() if each.lease is not None and now < each.lease.sure_until]
+        if held:
+            number, clock = self._lease_call(now, server, held)
+            sessions = tuple((each.number, each.epoch, each.rung) for each in held)
+            self._out.append(SendRenew(server, sessions, now + every, number, clock))
         self._out.append(Wake(now + every, ("renew", server)))
 
     # Hosts and lists
@@ -647,6 +704,7 @@
 
     def _hello(self, now: int, event: HostHello) -> None:
         changed, other = self.watch.hello(now, event.server, event.process, event.age, event.drains)
+        self._heard(now, event.server, event.clock, None)
         self._entries(now, changed)
         if other:  # what played in the old process ended with it
             for session in list(self._at.get(event.server, {}).values()):
--- a/mintmast/decisions/lease.py
+++ b/mintmast/decisions/lease.py
@@ -1,15 +1,22 @@
 """Lease arithmetic: until when a host may go on with a session that nobody renews.
 
-A host counts `length` from the moment a renewal reaches it, on its own clock. The gateway does not see that
-moment: it lies between the sending of the renewal and the end of that call. So what a host still holds is
-reckoned from the end of the last call that may have renewed, and what it surely still holds from the sending
-of the last one that was answered. Clocks of both run on their own; only their rates matter, and they may
-differ by `DRIFT`.
+A renewal that waits in the buffers of a host that stands still may be worked off at any later time, so
+nothing can be reckoned from when it was sent or given up. Instead each one names a reading of the host's own
+clock that the gateway heard before, and its sequence number: the host keeps the session until that reading
+plus the lease, ignores numbers it has passed, and refuses what is over already. The gateway heard the reading
+at a known time, so:
+
+* the host holds the session at most until `length` after the reading was heard, on clocks that differ by
+  `DRIFT`;
+* it holds it at least until `length` after the call that brought the reading was sent.
+
+Nothing rests on synchronous clocks, on delays or on answers; only on rates that differ by less than `DRIFT`,
+and on a host's clock that never goes back, over its restarts too.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 # part by which two clocks may differ in rate: crystals keep 0.0001, clocks being slewed 0.0005 (ntpd's
 # bound); one in a hundred leaves room for a host that is paused in the middle of its own reckoning
@@ -18,29 +25,71 @@
 RENEWALS = 3
 
 
+@dataclass(slots=True)
+class HostClock:
+    """The last reading of a host's clock; all in µs, `heard_at` and `sure_at` on the gateway's clock.
+
+    The host's clock read `reading` at `heard_at` at the latest and at `sure_at` at the earliest.
+    """
+
+    reading: int = -1
+    heard_at: int = 0
+    sure_at: int = 0
+
+    def heard(self, reading: int, now: int, asked: int | None) -> None:
+        """Take a reading that came at `now`, in answer to a call sent at `asked` or (None) by itself."""
+        if reading < self.reading:
+            return  # an old word that came late
+        if asked is None:
+            # on from the last reading, at the least rate that its clock can have had against ours
+            asked = self.sure_at + int((reading - self.reading) * (1 - DRIFT)) if self.reading >= 0 else now
+        self.reading, self.heard_at, self.sure_at = reading, now, min(asked, now)
+
+
+@dataclass(slots=True)
+class _Renewal:
+    number: int
+    over: int
+    sure: int
+    proven: bool
+
+
 @dataclass(slots=True)
 class Lease:
-    """One session's lease as its gateway knows it; microseconds of the gateway's clock."""
+    """One session's lease as its gateway knows it; µs of the gateway's clock."""
 
-    length: int
-    sure_from: int  # sending of the last renewal that was answered: held at least `length` from then
-    maybe_from: int  # end of the last call that may have renewed: held at most `length` from then
+    calls: list[_Renewal] = field(default_factory=list)
+    sure_until: int = 0  # until when the host surely holds it, if it lives and has not been told to end it
 
-    def renewed(self, sent: int, ended: int, answered: bool) -> None:
-        """Book a renewal's call."""
-        self.maybe_from = max(self.maybe_from, ended)
-        if answered:
-            self.sure_from = max(self.sure_from, sent)
+    def asked(self, number: int, now: int, length: int, clock: HostClock | None) -> None:
+        """Book a call about to be sent at `now`; without a reading the host counts from its arrival."""
+        if clock is None or clock.reading < 0:
+            self.calls.append(_Renewal(number, now + int(2 * length * (1 + DRIFT)), now + length, False))
+            return
+        over = clock.heard_at + int(length * (1 + DRIFT)) + 1
+        sure = clock.sure_at + int(length * (1 - DRIFT))
+        self.calls.append(_Renewal(number, over, sure, True))
 
-    @property
-    def sure_until(self) -> int:
-        """Until when the host surely keeps it, if it lives."""
-        return self.sure_from + int(self.length * (1 - DRIFT))
+    def answered(self, number: int) -> None:
+        """Book that the host took call `number`: it now passes over all earlier ones."""
+        for call in self.calls:
+            if call.number == number:
+                self.sure_until = call.sure
+        self.calls = [call for call in self.calls if call.number >= number]
+
+    def never_came(self, number: int) -> None:
+        """Book that call `number` provably never reached the host."""
+        self.calls = [call for call in self.calls if call.number != number]
 
     @property
     def over_at(self) -> int:
-        """From when the host provably holds it no more."""
-        return self.maybe_from + int(self.length * (1 + DRIFT)) + 1
+        """From when the host holds it no more, as far as can be told."""
+        return max((call.over for call in self.calls), default=0)
+
+    @property
+    def proven(self) -> bool:
+        """Tell whether `over_at` rests on readings of the host's clock alone."""
+        return bool(self.calls) and all(call.proven for call in self.calls)
 
 
 def renew_every(length: int) -> int:
--- a/mintmast/hosts/media.py
+++ b/mintmast/hosts/media.py
@@ -10,8 +10,9 @@
 import msgspec
 
 from mintmast.core.ports import HostEvents, Order
+from mintmast.decisions.book import NOTHING, Told
 from mintmast.decisions.outcomes import Evidence, may_have_run
-from mintmast.hosts.protocol import LOAD, NEVER_RAN, EventReader, read_load
+from mintmast.hosts.protocol import CLOCK, LOAD, NEVER_RAN, EventReader, read_load
 from mintmast.http.client import DEFAULT, Address, Call, ClientLimits, Fault, HttpClient, Reply
 from mintmast.http.server import Headers
 from mintmast.interface import NoteKind
@@ -79,7 +80,7 @@
         """Tell who hears what hosts say."""
         self._events = events
 
-    def set_up(self, order: Order, done: Callable[[Evidence, tuple[float, ...]], None]) -> None:
+    def set_up(self, order: Order, done: Callable[[Evidence, Told], None]) -> None:
         """Ask a host for a session."""
         body = {
             "title": order.title,
@@ -91,12 +92,14 @@
             "paid": order.paid,
             "key": order.key,
             "who": self._who,
+            "call": order.number,
+            "clock": order.clock,
         }
         key = order.session, order.attempt
 
         def ended(reply: Reply | Fault) -> None:
             self._out.pop(key, None)
-            done(evidence_of(reply), self._load(reply))
+            done(evidence_of(reply), self._told(reply))
 
         headers = [("Idempotency-Key", f'"{order.session}/{order.epoch}"')]
         self._out[key] = self._call(order.server, "PUT", order.session, ended, order.until, body, headers)
@@ -126,7 +129,9 @@
         sessions: tuple[tuple[str, int, int, float], ...],
         lease: int,
         until: int,
-        done: Callable[[bool, bool, tuple[str, ...], tuple[float, ...]], None],
+        number: int,
+        clock: int,
+        done: Callable[[bool, bool, tuple[str, ...], Told], None],
     ) -> None:
         """Renew leases."""
 
@@ -139,10 +144,10 @@
                     tuple(each for each in told if isinstance(each, str)) if isinstance(told, list) else ()
                 )
             arrived = isinstance(reply, Reply) or may_have_run(_EVIDENCE[reply])
-            done(answered, arrived, unknown, self._load(reply))
+            done(answered, arrived, unknown, self._told(reply))
 
         told = {name: {"epoch": epoch, "rung": rung, "kb": kb} for name, epoch, rung, kb in sessions}
-        body = {"lease_ms": lease // 1000, "sessions": told}
+        body = {"lease_ms": lease // 1000, "call": number, "clock": clock, "sessions": told}
         self._call(server, "POST", "", ended, until, body, path="/v1/leases")
 
     def watch(self, server: bytes) -> None:
@@ -161,10 +166,11 @@
         if self._lines.get(line.server) is line:
             del self._lines[line.server]
 
-    def _load(self, reply: Reply | Fault) -> tuple[float, ...]:
-        if isinstance(reply, Fault) or LOAD not in reply.headers:
-            return ()
-        return read_load(reply.headers[LOAD], self.fields)
+    def _told(self, reply: Reply | Fault) -> Told:
+        if isinstance(reply, Fault):
+            return NOTHING
+        load = read_load(reply.headers.get(LOAD, ""), self.fields)
+        return Told(load, _reading(reply.headers.get(CLOCK.lower(), "")))
 
     def _call(
         self,
@@ -185,6 +191,12 @@
         return self.client.call(address_of(server), method, path + target, done, headers, data, until)
 
 
+def _reading(told: object) -> int:
+    """Give a clock's reading in µs, -1 for what is none."""
+    text = str(told)
+    return int(text) if text.isascii() and text.isdigit() and len(text) < 19 else -1
+
+
 def _read(body: bytes) -> dict[str, Any]:
     try:
         value = msgspec.json.decode(body)
@@ -241,9 +253,12 @@
             self._said_hello = True
             process = str(fields.get("process", ""))[:100]
             age_us = int(age * 1000) if known else None
-            self._events.hello(self.server, process, age_us, fields.get("drains") is True)
+            clock = _reading(fields.get("clock", ""))
+            self._events.hello(self.server, process, age_us, fields.get("drains") is True, clock)
         elif not self._said_hello:
             return
+        elif kind == "tick":
+            self._events.tick(self.server, _reading(fields.get("clock", "")))
         elif kind == "drain":
             self._events.drain(self.server, fields.get("drains") is True)
         elif kind == "ended":
--- a/mintmast/hosts/protocol.py
+++ b/mintmast/hosts/protocol.py
@@ -11,6 +11,8 @@
 # reply field of a host that did not run the set-up: `full`, `draining` or `fenced`
 NEVER_RAN = "Mintmast-Never-Ran"
 LOAD = "endpoint-load-metrics"
+# reply field with a reading of the host's clock, in µs
+CLOCK = "Mintmast-Clock"
 # bytes of one event line; a longer one is from no host of ours
 MAX_LINE = 65_536
 
