--- a/mintmast/config/schema.py
+++ b/mintmast/config/schema.py
@@ -203,7 +203,13 @@
         admin=_obj(
             "port",
             host=_text("address to listen on", "127.0.0.1"),
-            port=_int(0, 65_535, "port of metrics"),
+            port=_int(0, 65_535, "port of metrics, drains and moves"),
+            token=_text("what operators show to drain hosts; without it they cannot"),
+        ),
+        steering=_obj(
+            "",
+            ttl_s=_int(1, 3600, "players ask again where to go on after so long", 3),
+            hold_ms=_int(0, 60_000, "longest that such a question is held while a session moves", 2500),
         ),
         telemetry=_obj(
             "",
--- a/mintmast/core/ports.py
+++ b/mintmast/core/ports.py
@@ -29,6 +29,7 @@
     key: str
     until: int  # time of the loop's clock at which the attempt is given up
     number: int  # of the call, among those that give leases
+    moved_from: str  # the session that it takes the place of, "" for none
     clock: int  # reading of the host's clock that the lease counts from, -1 for none
 
 
@@ -106,3 +107,4 @@
 
 
 AnswerTo = Callable[[book.Give], None]
+SteerTo = Callable[[book.Steer], None]
--- a/mintmast/core/service.py
+++ b/mintmast/core/service.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from mintmast import interface as api
-from mintmast.core.ports import AnswerTo, HostPort, ListSource, Order
+from mintmast.core.ports import AnswerTo, HostPort, ListSource, Order, SteerTo
 from mintmast.decisions import book
 from mintmast.decisions.outcomes import Evidence
 from mintmast.loop import Loop
@@ -54,6 +54,7 @@
         self._random = random.Random(seed)
         self.book = book.SessionBook(settings, decide, lease, start * EPOCHS_A_MS, table)
         self._asked: dict[int, _Asked] = {}
+        self._polls: dict[int, SteerTo] = {}
         self._count = 0
         self.stats: dict[str, int] = {
             "asked": 0,
@@ -72,6 +73,7 @@
             book.Watch: lambda c: hosts.watch(c.server),
             book.Unwatch: lambda c: hosts.unwatch(c.server),
             book.Give: self._give,
+            book.Steer: self._steer,
             book.Wake: lambda c: loop.call_at(c.at, self._take, book.Due(c.token)),
             book.AskList: lambda c: source.refresh(),
             book.Say: lambda c: self.say(c.event, **dict(c.fields)),
@@ -110,6 +112,27 @@
             self.stats["gone"] += 1
             self._take(book.AskGone(ask))
 
+    def poll(self, session: str, buffer: int, budget: int, answer: SteerTo) -> int:
+        """Take a player's question where to go on; `buffer` and `budget` in µs. Gives the poll's number."""
+        self._count += 1
+        number = self._count
+        self._polls[number] = answer
+        self._take(book.Poll(number, self.number(session), buffer, budget))
+        return number
+
+    def poll_gone(self, poll: int) -> None:
+        """Take note that the player waits no more."""
+        if self._polls.pop(poll, None) is not None:
+            self._take(book.PollGone(poll))
+
+    def order_drain(self, server: bytes, on: bool, within: int | None) -> bool:
+        """Drain a host by an operator's order, or take that back; False for a host that is on no list."""
+        if server not in self.book.watch.hosts:
+            return False
+        self.say("drain_ordered", host=server.decode(), on=on, within_us=within)
+        self._take(book.Drain(server, on, within))
+        return True
+
     # Hosts
 
     def hello(self, server: bytes, process: str, age: int | None, drains: bool, clock: int) -> None:
@@ -171,6 +194,7 @@
             ask.key,
             command.until,
             command.number,
+            self.name(command.moved_from) if command.moved_from else "",
             command.clock,
         )
 
@@ -218,9 +242,14 @@
             self._take(book.Renewed(command.server, sent, call, answered, arrived, numbers, gone, told))
 
         self.hosts.renew(
-            command.server, named, self.lease, command.until, command.number, command.clock, done
+            command.server, named, command.lease, command.until, command.number, command.clock, done
         )
 
+    def _steer(self, command: book.Steer) -> None:
+        answer = self._polls.pop(command.poll, None)
+        if answer is not None:
+            answer(command)
+
     def _give(self, command: book.Give) -> None:
         asked = self._asked.pop(command.ask, None)
         if asked is None:
--- a/mintmast/decisions/book.py
+++ b/mintmast/decisions/book.py
@@ -19,8 +19,10 @@
 import msgspec
 
 from mintmast import interface as api
+from mintmast.decisions import moves
 from mintmast.decisions.hostwatch import HostWatch
 from mintmast.decisions.lease import HostClock, Lease, renew_every
+from mintmast.decisions.moves import Act, MovePlanner, Signal, Stage
 from mintmast.decisions.outcomes import TABLE, Evidence, may_have_run
 from mintmast.interface import Effect, ListKind, Outcome
 
@@ -161,6 +163,29 @@
     value: float
 
 
+class Poll(msgspec.Struct, frozen=True, gc=False):
+    """A player asks where to go on; `buffer` is the media it holds ahead (µs), it waits `budget` µs."""
+
+    poll: int
+    session: int
+    buffer: int
+    budget: int
+
+
+class PollGone(msgspec.Struct, frozen=True, gc=False):
+    """The player waits no more for the answer to its poll."""
+
+    poll: int
+
+
+class Drain(msgspec.Struct, frozen=True, gc=False):
+    """An operator drains a host, or takes that back; `within` µs it is to be empty, None for not said."""
+
+    server: bytes
+    on: bool
+    within: int | None = None
+
+
 class ListNews(msgspec.Struct, frozen=True, gc=False):
     """News from the list of servers."""
 
@@ -190,6 +215,22 @@
     ask: Ask
     number: int
     clock: int
+    moved_from: int = 0
+
+
+class Steer(msgspec.Struct, frozen=True, gc=False):
+    """Answer a poll: play on at this host, or (with `over`) nowhere."""
+
+    poll: int
+    session: int = 0
+    server: bytes = b""
+    rung: int = 0
+    epoch: int = 0
+    title: int = 0
+    service: int = 0
+    best_rung: int = 0
+    moved: bool = False
+    over: bool = False
 
 
 class CallOff(msgspec.Struct, frozen=True, gc=False):
@@ -225,6 +266,7 @@
     until: int
     number: int
     clock: int
+    lease: int
 
 
 class Watch(msgspec.Struct, frozen=True, gc=False):
@@ -275,6 +317,20 @@
 Command = object
 
 
+@dataclass(slots=True)
+class _Move:
+    """A move under way; kept at the old session, and by the new one's number."""
+
+    old: _Session
+    buffer_until: int  # until when the player's buffer lasts, by its own word
+    stage: Stage = Stage.PLAYS
+    polls: set[int] = field(default_factory=set)
+    call: int = 0  # number of the call that makes the lease short
+    new: int = 0
+    held: tuple[bytes, int] | None = None  # where the module wants the new session, until it is sent there
+    began: int = 0
+
+
 @dataclass(slots=True)
 class _Session:
     number: int
@@ -291,6 +347,9 @@
     playing: bool = False
     may_have_run: bool = False
     lease: Lease | None = None
+    started: int = 0
+    move: _Move | None = None  # off its host
+    came: _Move | None = None  # by which it comes to its host
 
 
 class SessionBook:
@@ -321,6 +380,12 @@
         self._number = self._version = 0
         self._watched: set[bytes] = set()
         self._out: list[Command] = []
+        self.planner = MovePlanner(settings)
+        self.counts = {"moved": 0, "lost": 0, "stayed": 0, "over": 0}
+        self.reasons: dict[int, str] = {}  # of sessions on draining hosts that stay: why, at their last poll
+        self._next: dict[int, int] = {}  # moved session: the one that it became
+        self._polls: dict[int, _Move] = {}
+        self._ordered: dict[bytes, int | None] = {}  # drains ordered here: when the host is to be empty
         self.late = 0  # sessions found running after their attempt was given up
         self.handlers: dict[type, Callable] = {
             Ask: self._ask,
@@ -334,6 +399,9 @@
             HostTick: lambda now, e: self._heard(now, e.server, e.clock, None),
             HostDrain: lambda now, e: self._entries(now, self.watch.drain(e.server, e.drains)),
             HostNote: self._note,
+            Poll: self._poll,
+            PollGone: self._poll_gone,
+            Drain: self._drain,
             ListNews: self._list,
             Due: self._due,
         }
@@ -363,7 +431,7 @@
             if session.playing and session.server is not None:
                 self._give(ask.ask, session, Verdict.PLAYS)
                 return
-            if session.out and session.waiting:
+            if session.out and (session.waiting or session.came is not None):
                 self._wait(now, session, ask)
                 return
         if self.spent.get(ask.key, now) > now or (session is not None and session.effect is not Effect.FREE):
@@ -378,12 +446,21 @@
             self.keys[ask.key] = session.number
         self._wait(now, session, ask)
         self._out.append(Wake(session.deadline + BACKSTOP, ("late", session.number)))
+        self._request(now, session)
+        if session.waiting and not session.out:  # the module must have sent it or ended it: see rule 1
+            self._out.append(Say("unanswered", (("session", session.number),)))
+            self._close(now, session, Verdict.FAILED, reason="undecided")
+
+    def _request(self, now: int, session: _Session) -> None:
+        """Ask the module where the session plays."""
+        self.planner.taken(now)
+        ask = session.ask
         request = api.SessionRequest(
             session.number,
             ask.service,
             ask.tenant,
             ask.title,
-            ask.budget,
+            session.deadline - now,
             ask.home_cell,
             ask.copies,
             ask.best_rung,
@@ -392,9 +469,6 @@
             ask.again,
         )
         self._feed(now, request)
-        if session.waiting and not session.out:  # the module must have sent it or ended it: see rule 1
-            self._out.append(Say("unanswered", (("session", session.number),)))
-            self._close(now, session, Verdict.FAILED, reason="undecided")
 
     def _wait(self, now: int, session: _Session, ask: Ask) -> None:
         until = now + ask.budget
@@ -430,6 +504,7 @@
         if verdict is not None:
             self._give_all(session, verdict, advice, reason)
         self.sessions.pop(session.number, None)
+        self.reasons.pop(session.number, None)
         self._leave(session)
         key = session.ask.key
         if key and self.keys.get(key) == session.number:
@@ -437,6 +512,9 @@
             if session.may_have_run and session.effect is not Effect.FREE:
                 self.spent[key] = now + KEY_KEPT
                 self._spent_order.append((now + KEY_KEPT, key))
+        came = session.came
+        if came is not None and came.new == session.number and came.stage is Stage.SETTING_UP:
+            self._signal(now, came, Signal.DOWN)
         while self._spent_order and self._spent_order[0][0] <= now:
             until, key = self._spent_order.popleft()
             if self.spent.get(key) == until:
@@ -479,6 +557,7 @@
                     server = session.server
                     self._end_at(now, session, server)
                     self._close(now, session)
+                    self._move_on(now, session, Signal.LEFT)
                     return api.AttemptEnd(request, session.attempts - 1, server, Outcome.CANCELLED, 0, True)
             case api.SetTimer(delay, token):
                 self._out.append(Wake(now + delay, ("module", token)))
@@ -500,6 +579,14 @@
     def _send(self, now: int, session: _Session, server: bytes, timeout_at: int) -> None:
         if session.out:
             raise AssertionError("a second attempt while one is out")
+        move = session.came
+        if move is not None and move.stage in (Stage.PLACING, Stage.REPLACING):
+            move.held = server, timeout_at  # sent when the old session is surely over
+            return
+        if move is not None and move.stage is not Stage.SETTING_UP:
+            raise AssertionError("a moved session sent while the old one may play")
+        if session.attempts:
+            self.planner.resent(now)
         self._epoch += 1
         session.server, session.epoch, session.out, session.sent_at = server, self._epoch, True, now
         session.attempts += 1
@@ -517,16 +604,19 @@
                 session.ask,
                 number,
                 clock,
+                move.old.number if move is not None else 0,
             )
         )
 
-    def _lease_call(self, now: int, server: bytes, sessions: list[_Session]) -> tuple[int, int]:
+    def _lease_call(
+        self, now: int, server: bytes, sessions: list[_Session], length: int = 0
+    ) -> tuple[int, int]:
         """Book a call that gives these sessions a lease; give its number and the reading that it names."""
         self._calls += 1
         clock = self._clocks.get(server)
         for session in sessions:
             if session.lease is not None:
-                session.lease.asked(self._calls, now, self._lease, clock)
+                session.lease.asked(self._calls, now, length or self._lease, clock)
         return self._calls, clock.reading if clock is not None else -1
 
     def _heard(self, now: int, server: bytes, reading: int, asked: int | None) -> None:
@@ -567,7 +657,7 @@
             return
         if may_have_run(event.evidence):
             self._end_at(now, session, server)
-        over = not session.waiting
+        over = not session.waiting and session.came is None
         self._feed(
             now,
             api.AttemptEnd(session.number, event.attempt, server, row.outcome, took, over, event.told.load),
@@ -579,12 +669,12 @@
         self, now: int, session: _Session, server: bytes, took: int, load: tuple[float, ...]
     ) -> None:
         number, attempt = session.number, session.attempts - 1
-        if not session.waiting:  # nobody is left to watch it
+        if not session.waiting and session.came is None:  # nobody is left to watch it
             self._end_at(now, session, server)
             self._close(now, session)
             self._feed(now, api.AttemptEnd(number, attempt, server, Outcome.SERVED, took, True, load))
             return
-        session.playing = True
+        session.playing, session.started = True, session.started or now
         if session.lease is not None:
             session.lease.answered(session.lease.calls[-1].number)
         at = self._at.setdefault(server, {})
@@ -594,6 +684,8 @@
             self._out.append(Wake(now + renew_every(self._lease), ("renew", server)))
         self._give_all(session, Verdict.PLAYS)
         self._feed(now, api.Playing(number, attempt, server, took))
+        if session.came is not None:
+            self._signal(now, session.came, Signal.UP)
         for value, name in zip(load, self.settings.load_fields, strict=False):
             kind = {"x0": api.NoteKind.LINK, "x1": api.NoteKind.UPLINK}.get(name)
             if kind is not None:
@@ -612,22 +704,27 @@
         server, attempt = session.server or b"", session.attempts - 1
         self._close(now, session)
         self._feed(now, api.AttemptEnd(session.number, attempt, server, outcome, 0, True, load))
+        # reset: its process is gone, so it is as surely over as if the host had said so
+        self._move_on(now, session, Signal.OLD_DIED if outcome is Outcome.RESET else Signal.LEFT)
 
     # Ends and leases
 
-    def _end_at(self, now: int, session: _Session, server: bytes) -> None:
+    def _end_at(self, now: int, session: _Session, server: bytes, wait: int = END_TIME) -> None:
         """See to it that the host holds the session no more, unless it never could."""
         over_at = session.lease.over_at if session.lease is not None else now
         self._ending[session.number, server] = session.epoch, max(over_at, now + self._lease)
-        self._out.append(SendEnd(session.number, server, session.epoch, now + END_TIME))
+        self._out.append(SendEnd(session.number, server, session.epoch, now + wait))
 
     def _end_ended(self, now: int, event: EndEnded) -> None:
         key = event.session, event.server
         held = self._ending.get(key)
         if held is None:
             return
+        session = self.sessions.get(event.session)
+        if event.sure and session is not None and session.move is not None and session.server == event.server:
+            self._signal(now, session.move, Signal.ENDED)
         if event.sure or now >= held[1]:
-            del self._ending[key]
+            self._ending.pop(key, None)
         else:
             self._out.append(Wake(now + END_AGAIN, ("end", *key)))
 
@@ -647,6 +744,8 @@
                 continue
             if event.answered:
                 session.lease.answered(event.number)
+                if session.move is not None and session.move.call == event.number:
+                    self._shortened(now, session.move)
             elif not event.arrived:
                 session.lease.never_came(event.number)
 
@@ -667,6 +766,14 @@
                         self._feed(now, api.ViewerGone(session.number))
             case ("renew", server):
                 self._renew(now, server)
+            case ("move", number, signal):
+                session = self.sessions.get(number)
+                if session is not None and session.move is not None:
+                    self._signal(now, session.move, signal)
+            case ("poll", poll):
+                move = self._polls.get(poll)
+                if move is not None:
+                    self._steer(poll, move.old)
             case ("watch", server):
                 if server in self._watched:
                     self._out.append(Watch(server))
@@ -681,18 +788,22 @@
             self._renewing.discard(server)
             return
         for session in list(at.values()):
-            if session.lease is not None and now >= session.lease.over_at:
+            if session.lease is not None and now >= session.lease.over_at and session.move is None:
                 self._ended(now, session, Outcome.RESET)  # unreachable for longer than its lease: it is over
         at = self._at.get(server, {})
         every = renew_every(self._lease)
         # Danger: a host that answers nothing may still take renewals, so its leases would never be over. Also
         # guards against answers lost on the way. A lease not surely held any more is left to run out. May
         # hurt when a host is silent for a lease and then goes on: its sessions have ended.
-        held = [each for each in at.values() if each.lease is not None and now < each.lease.sure_until]
+        held = [
+            each
+            for each in at.values()
+            if each.lease is not None and now < each.lease.sure_until and each.move is None
+        ]
         if held:
             number, clock = self._lease_call(now, server, held)
             sessions = tuple((each.number, each.epoch, each.rung) for each in held)
-            self._out.append(SendRenew(server, sessions, now + every, number, clock))
+            self._out.append(SendRenew(server, sessions, now + every, number, clock, self._lease))
         self._out.append(Wake(now + every, ("renew", server)))
 
     # Hosts and lists
@@ -742,6 +853,222 @@
                 self._out.append(Watch(server))
 
     def _entries(self, now: int, changed: list[api.ListEntry]) -> None:
-        if changed:
-            self._version += 1
-            self._feed(now, api.ServerList(ListKind.DELTA, self._version, tuple(changed)))
+        if not changed:
+            return
+        self._version += 1
+        self._feed(now, api.ServerList(ListKind.DELTA, self._version, tuple(changed)))
+        for entry in changed:
+            drains = entry.state is api.ServerState.DRAINING
+            self.planner.drains(entry.server, drains, self._ordered.get(entry.server))
+            if entry.state is api.ServerState.READY:
+                for session in list(self._at.get(entry.server, {}).values()):
+                    if session.move is not None:
+                        self._signal(now, session.move, Signal.TAKEN_BACK)
+
+    # Moves
+
+    def playing_at(self, server: bytes) -> dict[int, _Session]:
+        """Give the sessions that play at a host."""
+        return dict(self._at.get(server, {}))
+
+    def _drain(self, now: int, event: Drain) -> None:
+        if event.on:
+            self._ordered[event.server] = None if event.within is None else now + event.within
+        else:
+            self._ordered.pop(event.server, None)
+        self._entries(now, self.watch.order(event.server, event.on))
+        if event.on:
+            self.planner.drains(event.server, True, self._ordered[event.server])
+
+    def _poll(self, now: int, event: Poll) -> None:
+        number = event.session
+        while number in self._next:
+            number = self._next[number]
+        session = self.sessions.get(number)
+        if session is None or session.server is None:
+            self._out.append(Steer(event.poll, over=True))
+            return
+        move = session.move or (session.came if not session.playing else None)
+        if move is not None and move.stage not in moves.FINAL:
+            self._join(now, move, event)
+            return
+        host = self.watch.hosts.get(session.server)
+        draining = host is not None and self.watch.entry(host).state is api.ServerState.DRAINING
+        if not session.playing or not draining:
+            self._steer(event.poll, session, moved=number != event.session)
+            return
+        service = self.settings.classes[session.ask.service]
+        length = session.ask.length
+        left = session.started + length - now if length else None
+        why = self.planner.why_not(now, session.server, number, service, left, event.buffer)
+        if why:
+            self.reasons[number] = why
+            self._steer(event.poll, session, moved=number != event.session)
+            return
+        self.planner.begin(now, session.server, number)
+        move = session.move = _Move(session, now + event.buffer, began=now)
+        self._join(now, move, event)
+        self._signal(now, move, Signal.GRANTED)
+
+    def _join(self, now: int, move: _Move, event: Poll) -> None:
+        """Hold a poll until the move is through, but not beyond what the player waits."""
+        move.polls.add(event.poll)
+        self._polls[event.poll] = move
+        self._out.append(Wake(now + event.budget, ("poll", event.poll)))
+
+    def _poll_gone(self, now: int, event: PollGone) -> None:
+        move = self._polls.pop(event.poll, None)
+        if move is not None:
+            move.polls.discard(event.poll)
+
+    def _steer(self, poll: int, session: _Session, moved: bool = False) -> None:
+        move = self._polls.pop(poll, None)
+        if move is not None:
+            move.polls.discard(poll)
+        self._out.append(
+            Steer(
+                poll,
+                session.number,
+                session.server or b"",
+                session.rung,
+                session.epoch,
+                session.ask.title,
+                session.ask.service,
+                session.ask.best_rung,
+                moved,
+            )
+        )
+
+    def _move_on(self, now: int, session: _Session, signal: Signal) -> None:
+        if session.move is not None:
+            self._signal(now, session.move, signal)
+        came = session.came
+        while came is not None:  # nobody asks for what it once was any more
+            self._next.pop(came.old.number, None)
+            came = came.old.came
+
+    def _signal(self, now: int, move: _Move, signal: Signal) -> None:
+        """Follow the table; what an act causes at once is followed too."""
+        stage, acts = moves.step(move.stage, signal)
+        if (stage, acts) == (move.stage, ()):
+            return
+        before, move.stage = move.stage, stage
+        old = move.old
+        if stage is Stage.PLAYS or stage in moves.FINAL:
+            self.planner.end(now, old.server or b"", old.number, signal)
+            outcome = {Stage.PLAYS: "stayed", Stage.MOVED: "moved", Stage.LOST: "lost", Stage.OVER: "over"}
+            self.counts[outcome[stage]] += 1
+            took = (now - move.began) // 1000
+            fields = (
+                ("session", old.number),
+                ("from", old.server),
+                ("after", before.value),
+                ("by", signal.value),
+            )
+            self._out.append(Say("move_" + outcome[stage], (*fields, ("took_ms", took))))
+        if stage is Stage.PLAYS:
+            old.move = None
+            self._restore(now, old)
+        for act in acts:
+            follows = self._move_act(now, move, act)
+            if follows is not None:
+                self._signal(now, move, follows)
+
+    def _move_act(self, now: int, move: _Move, act: Act) -> Signal | None:
+        old, server = move.old, move.old.server or b""
+        match act:
+            case Act.SHORTEN:
+                move.call, clock = self._lease_call(now, server, [old], moves.SHORT_LEASE)
+                sessions = ((old.number, old.epoch, old.rung),)
+                until = now + moves.PREPARE_TIME
+                self._out.append(SendRenew(server, sessions, until, move.call, clock, moves.SHORT_LEASE))
+                self._out.append(Wake(until, ("move", old.number, Signal.NOT_SHORT)))
+            case Act.PLACE:
+                return self._place(now, move)
+            case Act.END:
+                self._end_at(now, old, server, moves.END_QUICK)
+                over_at = old.lease.over_at if old.lease is not None else now
+                self._out.append(Wake(now + moves.END_QUICK, ("move", old.number, Signal.OVERDUE)))
+                self._out.append(Wake(over_at, ("move", old.number, Signal.LEASE_OVER)))
+            case Act.RELEASE:
+                new = self.sessions.get(move.new)
+                held, move.held = move.held, None
+                if new is not None and held is not None:
+                    self._feed(now, api.AttemptEnd(new.number, 0, held[0], Outcome.NOT_SENT, 0, True))
+                    self._close(now, new)
+            case Act.SET_UP:
+                return self._set_up_moved(now, move)
+            case Act.LEAD:
+                for poll in list(move.polls):
+                    self._steer(poll, self.sessions[move.new], moved=True)
+            case Act.STAY:
+                for poll in list(move.polls):
+                    self._steer(poll, old)
+            case Act.TELL_LOST:
+                for poll in list(move.polls):
+                    self._polls.pop(poll, None)
+                    self._out.append(Steer(poll, over=True))
+                move.polls.clear()
+                self._old_over(now, move)
+                self._next.pop(old.number, None)
+            case Act.CALL_OFF:
+                new = self.sessions.get(move.new)
+                if new is not None and new.out:
+                    self._feed(now, api.ViewerGone(new.number))
+            case Act.FORGET:
+                for poll in list(move.polls):
+                    self._polls.pop(poll, None)
+                    self._out.append(Steer(poll, over=True))
+        return None
+
+    def _shortened(self, now: int, move: _Move) -> None:
+        lease = move.old.lease
+        if move.stage is not Stage.PREPARING or lease is None:
+            return
+        good = lease.proven and moves.bridges(move.buffer_until - now, lease.over_at - now)
+        self._signal(now, move, Signal.SHORT if good else Signal.NOT_SHORT)
+
+    def _restore(self, now: int, session: _Session) -> None:
+        """Give a session that stays its usual lease again."""
+        if session.server is not None and session.number in self._at.get(session.server, {}):
+            number, clock = self._lease_call(now, session.server, [session])
+            told = ((session.number, session.epoch, session.rung),)
+            until = now + renew_every(self._lease)
+            self._out.append(SendRenew(session.server, told, until, number, clock, self._lease))
+
+    def _place(self, now: int, move: _Move) -> Signal:
+        """Ask the module for a place; nothing is sent yet."""
+        if move.stage is Stage.REPLACING:
+            self._old_over(now, move)
+        ask = move.old.ask
+        left = max(SECOND, move.old.started + ask.length - now) if ask.length else 0
+        self._number += 1
+        deadline = now + self.settings.classes[ask.service].deadline
+        new = _Session(
+            self._number, msgspec.structs.replace(ask, ask=0, length=left, moved=True, again=True), deadline,
+            move.old.effect,
+        )  # fmt: skip
+        new.came, new.started, move.new = move, move.old.started, new.number
+        self.sessions[new.number] = new
+        self._request(now, new)
+        return Signal.PLACED if move.held is not None else Signal.NO_ROOM
+
+    def _old_over(self, now: int, move: _Move) -> None:
+        """Take the old session off the module's and the book's account: it is surely over."""
+        old = move.old
+        self._next[old.number] = move.new
+        if old.number in self.sessions:
+            server, attempt = old.server or b"", old.attempts - 1
+            self._close(now, old)
+            self._feed(now, api.AttemptEnd(old.number, attempt, server, Outcome.CANCELLED, 0, True))
+
+    def _set_up_moved(self, now: int, move: _Move) -> Signal | None:
+        self._old_over(now, move)
+        new, held, move.held = self.sessions.get(move.new), move.held, None
+        if new is None or held is None:
+            return Signal.DOWN
+        if new.ask.key:
+            self.keys[new.ask.key] = new.number
+        self._out.append(Wake(new.deadline + BACKSTOP, ("late", new.number)))
+        self._send(now, new, held[0], held[1])
+        return None
--- a/mintmast/decisions/hostwatch.py
+++ b/mintmast/decisions/hostwatch.py
@@ -33,6 +33,7 @@
     process: str = ""  # the host's own name for its present life
     born: int = 0  # its start as it tells, 0 for long ago or not told
     drains: bool = False
+    ordered: bool = False  # drained by an operator's order here
     lost_at: int = 0  # while the line is broken: when it was to be tried again for the first time
     refuses: bool = False  # it took no connection when last asked
     tries: int = 0
@@ -95,12 +96,20 @@
         host.drains = drains
         return self._changed([server])
 
+    def order(self, server: bytes, drains: bool) -> list[ListEntry]:
+        """Take an operator's order to drain a host, or to take that back."""
+        host = self.hosts.get(server)
+        if host is None:
+            return []
+        host.ordered = drains
+        return self._changed([server])
+
     def entry(self, host: Watched) -> ListEntry:
         """Give what is believed of a host."""
         entry = host.listed
         if host.refuses:
             entry = replace(entry, state=ServerState.GONE)
-        elif host.drains and entry.state is ServerState.READY:
+        elif (host.drains or host.ordered) and entry.state is ServerState.READY:
             entry = replace(entry, state=ServerState.DRAINING)
         started = max(entry.started, host.born)
         if host.process and host.lost_at:
--- /dev/null
+++ b/mintmast/decisions/moves.py
@@ -0,0 +1,250 @@
+"""Moving sessions off a draining host: the states of a move as one table, and who moves when.
+
+Break before make under a lease: the old session is ended and that is sure before the new one is set up, and
+the player's buffer bridges the time between. First the lease at the old host is made short, so that even if
+the answer to the end is lost, the lease is over while the buffer lasts. Nothing is ended before the module
+has found a place.
+
+`TABLE` is the whole machine: the session book follows it, and the model check walks it against hosts that die
+and a network that loses, delays and repeats.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+from mintmast import interface as api
+from mintmast.interface import Effect
+
+SECOND = 1_000_000
+# µs; the lease of a session about to be moved: long enough for an end and its answer to be lost and tried
+# again twice, short enough for a usual player's buffer (8 s and more) to outlast it
+SHORT_LEASE = 2 * SECOND
+# µs for the call that makes the lease short; a host that takes longer is not fit for a quick move
+PREPARE_TIME = SECOND // 2
+# µs for the answer to the end before the place found is given back: kept longer, a set-up could reach a cold
+# host in another window than the one in which the module counted it
+END_QUICK = SECOND // 4
+# µs that a set-up at the new host and the player's next request may take: a few round trips and the host's
+# work
+SET_UP_ALLOWANCE = SECOND
+# µs; a session with less left than this ends by itself about as soon as a move would be through
+LEAST_LEFT = 4 * SECOND
+# moves of one gateway under way at once, and of one host among them: each is one set-up; the module's cold
+# pace and slot test bound where they go, these bound how much is between two hosts at a time
+IN_FLIGHT, IN_FLIGHT_HOST = 32, 16
+# µs; after a move found no room its host's next is tried so much later, doubled each time up to the second:
+# each try is a request to the module, and a fleet without room does not get it by being asked
+NO_ROOM, NO_ROOM_MOST = SECOND // 2, 8 * SECOND
+# µs; a candidate not heard of for so long polls no more
+CANDIDATE_AGE = 15 * SECOND
+
+
+class Stage(Enum):
+    """Where a session stands in its move."""
+
+    PLAYS = "plays"
+    PREPARING = "preparing"  # its lease at the old host is being made short
+    PLACING = "placing"  # the module is asked; the old session plays on
+    ENDING = "ending"  # a place is held; the old session is being ended
+    WAITING = "waiting"  # the end's answer is overdue: the lease decides; no place is held
+    REPLACING = "replacing"  # surely over at the old host; the module is asked again
+    SETTING_UP = "setting up"  # surely over at the old host; the new set-up is out
+    MOVED = "moved"
+    LOST = "lost"  # over at the old host and no place found
+    OVER = "over"  # ended for another reason than the move
+
+
+class Signal(Enum):
+    """What happens to a move."""
+
+    GRANTED = "granted"
+    SHORT = "short"  # the old host has taken the short lease, and the buffer outlasts it
+    NOT_SHORT = "not short"  # it did not answer in time, or the buffer would not last
+    PLACED = "placed"
+    NO_ROOM = "no room"
+    ENDED = "ended"  # the old host says that it holds the session no more
+    OVERDUE = "overdue"  # no answer to the end in its time
+    LEASE_OVER = "lease over"
+    OLD_DIED = "old died"  # the old host's process is gone
+    UP = "up"
+    DOWN = "down"  # the new set-up failed for good
+    TAKEN_BACK = "taken back"  # the drain is over
+    LEFT = "left"  # the viewer has gone, or the clip is at its end
+
+
+class Act(Enum):
+    """What follows from a signal."""
+
+    SHORTEN = "shorten"
+    PLACE = "place"
+    END = "end"
+    RELEASE = "release"  # give the place back unused
+    SET_UP = "set up"
+    LEAD = "lead"  # send the player to the new host
+    STAY = "stay"  # tell the player to stay where it is
+    TELL_LOST = "tell lost"
+    CALL_OFF = "call off"
+    FORGET = "forget"
+
+
+_S, _G, _A = Stage, Signal, Act
+# (stage, signal): next stage, acts. What is not here changes nothing.
+TABLE: dict[tuple[Stage, Signal], tuple[Stage, tuple[Act, ...]]] = {
+    (_S.PLAYS, _G.GRANTED): (_S.PREPARING, (_A.SHORTEN,)),
+    (_S.PREPARING, _G.SHORT): (_S.PLACING, (_A.PLACE,)),
+    (_S.PREPARING, _G.NOT_SHORT): (_S.PLAYS, (_A.STAY,)),
+    (_S.PREPARING, _G.TAKEN_BACK): (_S.PLAYS, (_A.STAY,)),
+    (_S.PREPARING, _G.OLD_DIED): (_S.OVER, (_A.TELL_LOST,)),
+    (_S.PREPARING, _G.LEFT): (_S.OVER, (_A.FORGET,)),
+    (_S.PLACING, _G.PLACED): (_S.ENDING, (_A.END,)),
+    (_S.PLACING, _G.NO_ROOM): (_S.PLAYS, (_A.STAY,)),
+    (_S.ENDING, _G.ENDED): (_S.SETTING_UP, (_A.SET_UP,)),
+    (_S.ENDING, _G.OLD_DIED): (_S.SETTING_UP, (_A.SET_UP,)),
+    (_S.ENDING, _G.LEASE_OVER): (_S.SETTING_UP, (_A.SET_UP,)),
+    (_S.ENDING, _G.OVERDUE): (_S.WAITING, (_A.RELEASE,)),
+    (_S.ENDING, _G.LEFT): (_S.OVER, (_A.RELEASE, _A.FORGET)),
+    (_S.WAITING, _G.ENDED): (_S.REPLACING, (_A.PLACE,)),
+    (_S.WAITING, _G.OLD_DIED): (_S.REPLACING, (_A.PLACE,)),
+    (_S.WAITING, _G.LEASE_OVER): (_S.REPLACING, (_A.PLACE,)),
+    (_S.WAITING, _G.LEFT): (_S.OVER, (_A.FORGET,)),
+    (_S.REPLACING, _G.PLACED): (_S.SETTING_UP, (_A.SET_UP,)),
+    (_S.REPLACING, _G.NO_ROOM): (_S.LOST, (_A.TELL_LOST,)),
+    (_S.SETTING_UP, _G.UP): (_S.MOVED, (_A.LEAD,)),
+    (_S.SETTING_UP, _G.DOWN): (_S.LOST, (_A.TELL_LOST,)),
+    (_S.SETTING_UP, _G.LEFT): (_S.OVER, (_A.CALL_OFF, _A.FORGET)),
+}
+# stages at which nothing follows any more
+FINAL = frozenset({Stage.MOVED, Stage.LOST, Stage.OVER})
+# stages at which the old session may still play: the new one must not be set up in any of them
+OLD_MAY_PLAY = frozenset({Stage.PLAYS, Stage.PREPARING, Stage.PLACING, Stage.ENDING, Stage.WAITING})
+
+
+def step(stage: Stage, signal: Signal) -> tuple[Stage, tuple[Act, ...]]:
+    """Give the next stage and what to do."""
+    return TABLE.get((stage, signal), (stage, ()))
+
+
+def bridges(buffer: int, lease_left: int) -> bool:
+    """Tell whether a buffer (µs) outlasts the longest that a move may leave the player without a host."""
+    return buffer >= max(0, lease_left) + SET_UP_ALLOWANCE
+
+
+@dataclass(slots=True)
+class _Candidate:
+    left: int
+    worth: float
+    heard: int
+
+
+@dataclass(slots=True)
+class _Host:
+    candidates: dict[int, _Candidate] = field(default_factory=dict)
+    moving: set[int] = field(default_factory=set)
+    not_before: int = 0
+    in_vain: int = 0
+    ends: int | None = None  # when the drain ends, if that was told
+
+
+class MovePlanner:
+    """Decides at a player's poll whether its session moves now.
+
+    Sessions that would hold the drain longest go first, those of more worth among equals; no more at once
+    than the bounds; a move is one further attempt of the budget, as it sends a viewer's session once more.
+    """
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.settings = settings
+        self._hosts: dict[bytes, _Host] = {}
+        self._moves: deque[int] = deque()
+        self._resent: deque[int] = deque()
+        self._taken: deque[int] = deque()
+        self.in_flight = 0
+
+    def taken(self, now: int) -> None:
+        """Count a request taken."""
+        if self.settings.budget:
+            self._taken.append(now)
+
+    def resent(self, now: int) -> None:
+        """Count a further attempt of the ordinary path."""
+        if self.settings.budget:
+            self._resent.append(now)
+
+    def drains(self, server: bytes, on: bool, ends: int | None = None) -> None:
+        """Take note that a host drains, with the time at which it will be switched off if that is known."""
+        if not on:
+            host = self._hosts.pop(server, None)
+            if host is not None and host.moving:
+                self._hosts[server] = _Host(moving=host.moving)
+            return
+        self._hosts.setdefault(server, _Host()).ends = ends
+
+    def why_not(
+        self, now: int, server: bytes, session: int, service: api.ServiceClass, left: int | None, buffer: int
+    ) -> str:
+        """Say why the session is not moved now, '' where it is; `left` µs are to play, None for ever."""
+        if service.effect is not Effect.FREE:
+            return "its class must not be set up again"
+        host = self._hosts.setdefault(server, _Host())
+        ends_first = host.ends is not None and left is not None and now + left <= host.ends
+        if ends_first or (left is not None and left < LEAST_LEFT):
+            host.candidates.pop(session, None)
+            return "it ends by itself"
+        most = SECOND * 10**6 if left is None else left
+        host.candidates[session] = _Candidate(most, service.worth, now)
+        if not bridges(buffer, SHORT_LEASE):
+            return "its buffer is too short"
+        if now < host.not_before:
+            return "no room elsewhere"
+        if self.in_flight >= IN_FLIGHT or len(host.moving) >= IN_FLIGHT_HOST:
+            return "others are moving"
+        if not self._budgeted(now):
+            return "the budget of further attempts is spent"
+        if self._rank(now, host, session) >= 2 * (IN_FLIGHT_HOST - len(host.moving)):
+            return "others hold the drain longer"
+        return ""
+
+    def _budgeted(self, now: int) -> bool:
+        budget = self.settings.budget
+        if budget is None:
+            return True
+        for times in (self._moves, self._resent, self._taken):
+            while times and times[0] <= now - budget.span:
+                times.popleft()
+        spent = len(self._moves) + len(self._resent)
+        return spent + 1 <= budget.free + budget.ratio * len(self._taken)
+
+    def _rank(self, now: int, host: _Host, session: int) -> int:
+        mine = host.candidates[session]
+        for number in [n for n, each in host.candidates.items() if each.heard < now - CANDIDATE_AGE]:
+            del host.candidates[number]
+        return sum(
+            (each.left, each.worth) > (mine.left, mine.worth)
+            for number, each in host.candidates.items()
+            if number not in host.moving
+        )
+
+    def begin(self, now: int, server: bytes, session: int) -> None:
+        """Count a move begun."""
+        host = self._hosts.setdefault(server, _Host())
+        host.moving.add(session)
+        host.candidates.pop(session, None)
+        self.in_flight += 1
+        if self.settings.budget:
+            self._moves.append(now)
+
+    def end(self, now: int, server: bytes, session: int, outcome: Signal) -> None:
+        """Count a move that is over, one way or the other."""
+        host = self._hosts.get(server)
+        if host is None or session not in host.moving:
+            return
+        host.moving.discard(session)
+        self.in_flight -= 1
+        if outcome is Signal.NO_ROOM:
+            host.not_before = now + min(NO_ROOM_MOST, NO_ROOM << min(host.in_vain, 10))
+            host.in_vain += 1
+        elif outcome is Signal.UP:
+            host.in_vain = 0
--- a/mintmast/fronts/dash/front.py
+++ b/mintmast/fronts/dash/front.py
@@ -8,10 +8,13 @@
 
 import math
 import re
+from typing import Any
+
+import msgspec
 
 from mintmast.config import Config, Title
 from mintmast.core.service import Core
-from mintmast.decisions.book import Ask, Give, Verdict
+from mintmast.decisions.book import Ask, Give, Steer, Verdict
 from mintmast.fronts.dash.manifest import Manifests, Shape, iso_time
 from mintmast.fronts.tokens import AccessTokens, Keys, SessionTokens, TokenError, Viewer
 from mintmast.http.server import Exchange, HttpServer, ServerLimits
@@ -19,6 +22,7 @@
 
 _PATH = re.compile(r"^/dash/([A-Za-z0-9][A-Za-z0-9._~-]{0,99})/manifest\.mpd$")
 _WAIT = re.compile(r"(?:^|[,;\s])wait=([0-9]{1,6}(?:\.[0-9]{1,3})?)")
+_BUFFER = re.compile(r"(?:^|,)bl=([0-9]{1,9})(?:,|$)")
 _TYPE = "application/dash+xml"
 # characters of an idempotency key; longer ones are cut off as malformed
 _KEY_LENGTH = 200
@@ -57,6 +61,9 @@
             body = iso_time(self.loop.wall()).encode()
             exchange.respond(200, [("Content-Type", "text/plain"), _NO_STORE], body)
             return
+        if exchange.path == "/dash/steer" and exchange.method == "GET":
+            self._steer(exchange)
+            return
         match = _PATH.match(exchange.path)
         title = self.config.titles.get(match[1]) if match else None
         if title is None:
@@ -133,6 +140,57 @@
             late = give.reason == "time is up"
             exchange.problem(504 if late else 502, "failed", f"{give.reason}; it may have run")
 
+    def _steer(self, exchange: Exchange) -> None:
+        """Answer a steering request (ETSI TS 103 998, 5): held while the session moves, if it does.
+
+        The player tells its buffer by CMCD (CTA-5004) `bl`, in ms; without it nothing is moved.
+        """
+        try:
+            claims = self.sessions.check(exchange.query.get("token", ""), self.loop.wall())
+        except TokenError as error:
+            exchange.problem(401, str(error))
+            return
+        told = _BUFFER.search(exchange.query.get("CMCD", ""))
+        buffer = int(told[1]) * 1000 if told else 0
+        hold = min(self.config["steering"]["hold_ms"] * 1000, buffer)
+        title = self.config.titles.get(str(claims["ttl"]))
+        if title is None:
+            exchange.problem(410, "the title is no more")
+            return
+        poll = self.core.poll(
+            str(claims["sid"]), buffer, hold, lambda answer: self._steered(exchange, title, claims, answer)
+        )
+        exchange.on_gone = lambda: self.core.poll_gone(poll)
+
+    def _steered(self, exchange: Exchange, title: Title, claims: dict[str, Any], answer: Steer) -> None:
+        if answer.over:
+            exchange.problem(410, "the session is over")
+            return
+        host, first = answer.server.decode(), str(claims["hst"])
+        top = min(answer.best_rung, self.config.settings.classes[answer.service].top)
+        until = self.loop.wall() + title.seconds + self.config["tokens"]["session_s"]
+        name = self.core.name(answer.session)
+        token = self.sessions.sign(name, title.name, host, top, answer.epoch, until)
+        manifest: dict[str, Any] = {
+            "VERSION": 1,
+            "TTL": self.config["steering"]["ttl_s"],
+            "RELOAD-URI": f"{self.public}/dash/steer?token={token}",
+            "PATHWAY-PRIORITY": [pathway(host)],
+        }
+        if host != first:
+            manifest["PATHWAY-CLONES"] = [
+                {
+                    "BASE-ID": pathway(first),
+                    "ID": pathway(host),
+                    "URI-REPLACEMENT": {"HOST": host, "PARAMS": {"token": token}},
+                }
+            ]
+        elif answer.moved:
+            manifest["PATHWAY-CLONES"] = []
+        exchange.respond(
+            200, [("Content-Type", "application/json"), _NO_STORE], msgspec.json.encode(manifest)
+        )
+
     def _playing(
         self, title: Title, service: int, best: int, give: Give
     ) -> tuple[int, list[tuple[str, str]], bytes]:
@@ -150,7 +208,14 @@
             kind.floor,
             f"{self.public}/dash/time",
         )
-        body = self.manifests.build(shape, f"http://{host}/s/{token}/", f"token={token}")
+        steer = f"{self.public}/dash/steer?token={token}"
+        base = f"http://{host}/s/{token}/"
+        body = self.manifests.build(shape, base, f"token={token}", pathway(host), steer)
         rate = round(settings.rung_kb[give.rung] * kind.scale * 8)
         headers = [("Content-Type", _TYPE), _NO_STORE, ("CMSD-Dynamic", f'"mintmast";mb={rate}')]
         return 200, headers, body
+
+
+def pathway(host: str) -> str:
+    """Give the pathway's id of a host: letters, digits, dots, hyphens and underscores only."""
+    return re.sub("[^A-Za-z0-9._-]", "-", host)
--- a/mintmast/fronts/dash/manifest.py
+++ b/mintmast/fronts/dash/manifest.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from datetime import UTC, datetime
 from xml.sax.saxutils import escape
@@ -19,7 +20,8 @@
 HTTP_ISO = "urn:mpeg:dash:utc:http-iso:2014"
 # where live titles' segment numbers begin: any moment in the past that all gateways agree on
 LIVE_ORIGIN = "2026-01-01T00:00:00Z"
-_BASE, _QUERY = "@base@", "@query@"
+_BASE, _QUERY, _PLACE, _STEER = "@base@", "@query@", "@place@", "@steer@"
+_MARK = re.compile("@(base|query|place|steer)@")
 # templates kept: one for each shape of title and best rung; more shapes than this are built anew each time
 _KEPT = 1024
 # s; players fetch a live manifest anew so often, and find moves of the session in it
@@ -44,18 +46,16 @@
     def __init__(self) -> None:
         self._kept: dict[Shape, list[str]] = {}
 
-    def build(self, shape: Shape, base: str, query: str) -> bytes:
-        """Give the document; `base` ends with a slash."""
+    def build(self, shape: Shape, base: str, query: str, place: str, steer: str) -> bytes:
+        """Give the document; `base` ends with a slash, `place` is the pathway's id, `steer` its server."""
         parts = self._kept.get(shape)
         if parts is None:
-            text = _document(shape).replace(_BASE, "\0").replace(_QUERY, "\1")
-            head, _, rest = text.partition("\0")
-            middle, _, tail = rest.partition("\1")
-            parts = [head, middle, tail]
+            parts = _MARK.split(_document(shape))
             if len(self._kept) < _KEPT:
                 self._kept[shape] = parts
-        quoted = escape(query, {'"': "&quot;"})
-        return f"{parts[0]}{escape(base)}{parts[1]}{quoted}{parts[2]}".encode()
+        put = {"base": base, "query": query, "place": place, "steer": steer}
+        put = {name: escape(value, {'"': "&quot;"}) for name, value in put.items()}
+        return "".join(put[part] if odd % 2 else part for odd, part in enumerate(parts)).encode()
 
 
 def _span(seconds: float) -> str:
@@ -77,7 +77,7 @@
     else:
         root.set("type", "static")
         root.set("mediaPresentationDuration", _span(shape.seconds))
-    etree.SubElement(root, f"{{{MPD}}}BaseURL").text = _BASE
+    etree.SubElement(root, f"{{{MPD}}}BaseURL", serviceLocation=_PLACE).text = _BASE
     period = etree.SubElement(root, f"{{{MPD}}}Period", id="0", start="PT0S")
     video = etree.SubElement(
         period,
@@ -109,6 +109,9 @@
             id=f"r{shape.first + step}",
             bandwidth=str(max(1, round(kb * 8000))),
         )
+    steering = etree.SubElement(root, f"{{{MPD}}}ContentSteering", defaultServiceLocation=_PLACE)
+    steering.set("queryBeforeStart", "false")
+    steering.text = _STEER
     if shape.live:
         etree.SubElement(root, f"{{{MPD}}}UTCTiming", schemeIdUri=HTTP_ISO, value=shape.clock)
     return etree.tostring(root, xml_declaration=True, encoding="UTF-8").decode()
--- a/mintmast/gateway.py
+++ b/mintmast/gateway.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import hmac
 import random
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from mintmast.config import Config
 from mintmast.core import Core
 from mintmast.decide import Controller
@@ -14,11 +17,20 @@
 from mintmast.hosts.media import MediaHosts
 from mintmast.http.client import ClientLimits
 from mintmast.http.server import Exchange, HttpServer
+from mintmast.interface import ServerState
 from mintmast.loop import Loop
 from mintmast.sources.fixed import FixedList, SavedList
 from mintmast.telemetry import Metrics, Traces
 
 
+class DrainOrder(msgspec.Struct):
+    """What an operator asks of a host; `within_s` is how soon it is to be empty."""
+
+    host: str
+    on: bool = True
+    within_s: float | None = None
+
+
 class Gateway:
     """One gateway on a loop. `say(event, **fields)` takes log lines; `table` is for drills that mutate it."""
 
@@ -83,6 +95,9 @@
             listener(event, fields)
 
     def _administer(self, exchange: Exchange) -> None:
+        if exchange.path in ("/v1/drains", "/v1/moves"):
+            self._operate(exchange)
+            return
         if exchange.path != "/metrics":
             exchange.problem(404, "no such path")
             return
@@ -90,6 +105,50 @@
         self.metrics.late.set(self.core.book.late)
         exchange.respond(200, [("Content-Type", "text/plain; version=0.0.4")], self.metrics.text())
 
+    def _operate(self, exchange: Exchange) -> None:
+        """Take an operator's order, or tell of drains; the token is compared in constant time."""
+        wanted = self.config["admin"].get("token")
+        shown = exchange.headers.get("authorization", "").removeprefix("Bearer ")
+        if wanted is None or not hmac.compare_digest(shown.encode(), wanted.encode()):
+            exchange.problem(401, "the operators' token is needed")
+        elif exchange.path == "/v1/moves" and exchange.method == "GET":
+            exchange.respond(200, [("Content-Type", "application/json")], msgspec.json.encode(self.moves()))
+        elif exchange.path == "/v1/drains" and exchange.method == "POST":
+            self._drain(exchange)
+        else:
+            exchange.problem(405, "POST /v1/drains, GET /v1/moves")
+
+    def _drain(self, exchange: Exchange) -> None:
+        try:
+            order = msgspec.json.decode(exchange.body, type=DrainOrder)
+        except msgspec.DecodeError as error:
+            exchange.problem(400, f"not a drain order: {error}")
+            return
+        within = None if order.within_s is None else int(order.within_s * 1e6)
+        if not self.core.order_drain(order.host.encode(), order.on, within):
+            exchange.problem(404, f"{order.host} is on no list")
+            return
+        exchange.respond(200, [("Content-Type", "application/json")], msgspec.json.encode(self.moves()))
+
+    def moves(self) -> dict[str, Any]:
+        """Tell what drains, what is under way and what holds each drain."""
+        book = self.core.book
+        hosts = {}
+        for server, host in book.watch.hosts.items():
+            if book.watch.entry(host).state is not ServerState.DRAINING:
+                continue
+            here = book.playing_at(server)
+            hosts[server.decode()] = {
+                "sessions": len(here),
+                "moving": {self.core.name(n): s.move.stage.value for n, s in here.items() if s.move},
+                "held_by": {
+                    self.core.name(n): book.reasons.get(n, "its player has not asked")
+                    for n, s in list(here.items())[:100]
+                    if not s.move
+                },
+            }
+        return {"draining": hosts, "counts": book.counts}
+
     def close(self) -> None:
         """Accept nothing more and break what is open."""
         self.dash.server.close()
--- a/mintmast/hosts/media.py
+++ b/mintmast/hosts/media.py
@@ -93,6 +93,7 @@
             "key": order.key,
             "who": self._who,
             "call": order.number,
+            "from": order.moved_from,
             "clock": order.clock,
         }
         key = order.session, order.attempt
--- a/mintmast/lab/audit.py
+++ b/mintmast/lab/audit.py
@@ -108,6 +108,25 @@
             found.see("set_up_once", *[f"{name}: attempts {first} and {second} out together"] * both)
 
 
+def moves(rows: list[Row], found: Findings) -> int:
+    """Check that no moved session was set up while the one before it might play; give the number of moves."""
+    over: dict[str, int] = {}
+    for row in rows:
+        if row["what"] == "session_over":
+            over[row["session"]] = row["since"]
+        elif row["what"] == "host_died":
+            over.update(dict.fromkeys(row["sessions"], row["at"]))
+    moved = 0
+    for row in rows:
+        if row["what"] != "ran" or not row["came_from"]:
+            continue
+        moved += 1
+        both = over.get(row["came_from"], 1 << 62) > row["at"]
+        faults = [f"{row['session']}: ran while {row['came_from']} played"] * both
+        found.see("set_up_once", *faults, *[f"{row['session']}: a paid session was moved"] * row["paid"])
+    return moved
+
+
 def _attempts(by: dict[str, list[Row]]) -> dict[str, list[tuple[int, int, int]]]:
     """Give for each session its attempts as (came, answered or left, epoch)."""
     ends: dict[tuple, int] = {}
--- a/mintmast/player/dash.py
+++ b/mintmast/player/dash.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import json
 import math
 import re
 from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
 from typing import Any
-from urllib.parse import urljoin, urlsplit
+from urllib.parse import quote, urljoin, urlsplit
 
 from lxml import etree
 
@@ -19,6 +20,14 @@
 _MB = re.compile(r"mb=([0-9]{1,12})")
 # s of media that a player wants ahead of what it shows, as common players do
 BUFFER_S = 8.0
+# s; a stall longer than this is seen by a viewer
+GAP_S = 0.2
+# µs between tries of a segment that its host turned away while steering may lead elsewhere, and for how long
+AGAIN, TROUBLE = 300_000, 12_000_000
+# µs from the first segment to the first question where to go on (ETSI TS 103 998: after start-up)
+FIRST_POLL = 1_000_000
+# µs that a player waits for the steering server
+POLL_TIME = 5_000_000
 # µs in which a segment must arrive before the player calls the session broken
 SEGMENT_TIME = 20_000_000
 # part by which a rung's told bandwidth may be over `mb` and still be meant by it: both are rounded
@@ -38,6 +47,9 @@
     rungs: dict[str, float] = field(default_factory=dict)  # seconds of media by Representation
     stalls: int = 0
     stalled_s: float = 0.0
+    gaps: int = 0  # stalls longer than GAP_S
+    longest_gap_s: float = 0.0
+    moves: int = 0  # times that steering led to another host
     host: str = ""
     whole: bool = False
     retry_ms: int = 0
@@ -76,8 +88,13 @@
         self._count = 0
         self._segment_s = 0.0
         self._mb = math.inf
-        self._buffer = 0.0
+        self._buffer = self._gap = 0.0
         self._at = 0  # when the buffer was last reckoned
+        self._steering = ""
+        self._token = ""  # shown as a parameter at a pathway clone
+        self._polling = self._ended = False
+        self._held = ""  # what is fetched again when steering has answered
+        self._trouble = 0  # since when segments fail
         parts = urlsplit(url)
         self._address = parts.hostname or "", parts.port or 80
         target = parts.path + (f"?{parts.query}" if parts.query else "")
@@ -111,6 +128,8 @@
         root = etree.fromstring(body, parser)
         self._base = root.find("m:BaseURL", _NS).text
         self.report.host = urlsplit(self._base).netloc
+        steering = root.find("m:ContentSteering", _NS)
+        self._steering = (steering.text or "").strip() if steering is not None else ""
         template = root.find(".//m:SegmentTemplate", _NS)
         self._segment_s = int(template.get("duration")) / int(template.get("timescale", "1"))
         self._media, self._init = template.get("media"), template.get("initialization")
@@ -139,19 +158,30 @@
         address = url.hostname or "", url.port or 80
         deadline = self.loop.now() + SEGMENT_TIME
         self.client.call(
-            address, "GET", url.path, lambda reply: self._got(what, rung, reply), deadline=deadline
+            address,
+            "GET",
+            self._shown(url.path),
+            lambda reply: self._got(what, rung, reply),
+            deadline=deadline,
         )
 
+    def _shown(self, path: str) -> str:
+        return f"{path}?token={self._token}" if self._token else path
+
     def _got(self, what: str, rung: str, reply: Reply | Fault) -> None:
         if isinstance(reply, Fault) or reply.status != 200:
-            self._reckon()
-            self._finish(reply.value if isinstance(reply, Fault) else f"segment answered {reply.status}")
+            self._failed(
+                what, reply.value if isinstance(reply, Fault) else f"segment answered {reply.status}"
+            )
             return
+        self._trouble = 0
         self._hear(reply)
         if what != "init":
             self._reckon()
             if self.report.start_s is None:
                 self.report.start_s = (self.loop.now() - self._began) / 1e6
+                if self._steering:
+                    self.loop.call_at(self.loop.now() + FIRST_POLL, self._poll)
             self._buffer += self._segment_s
             self.report.rungs[rung] = self.report.rungs.get(rung, 0.0) + self._segment_s
             self._next += 1
@@ -173,17 +203,93 @@
             if passed - shown > 1e-3:
                 self.report.stalls += 1
                 self.report.stalled_s += passed - shown
+                self._gap += passed - shown
+        if self._buffer > 0:
+            self._book_gap()
         self._at = now
 
+    def _book_gap(self) -> None:
+        if self._gap > GAP_S:
+            self.report.gaps += 1
+            self.report.longest_gap_s = max(self.report.longest_gap_s, self._gap)
+        self._gap = 0.0
+
+    def _failed(self, what: str, reason: str) -> None:
+        """Ask where to go on, and try again for a while; without steering the session is broken."""
+        self._reckon()
+        now = self.loop.now()
+        self._trouble = self._trouble or now
+        if not self._steering or self._ended or self.report.start_s is None or now - self._trouble > TROUBLE:
+            self._finish(reason)
+            return
+        self._held = what
+        if not self._polling:
+            self._poll()
+
+    def _poll(self) -> None:
+        """Ask the steering server (ETSI TS 103 998, 5), telling the buffer by CMCD (CTA-5004)."""
+        if self._ended or self._polling or self._count <= 0:
+            return
+        self._polling = True
+        self._reckon()
+        url = urlsplit(self._steering)
+        told = quote(f"bl={int(self._buffer * 1000)}")
+        target = f"{url.path}?{url.query}{'&' if url.query else ''}CMCD={told}"
+        address = url.hostname or "", url.port or 80
+        until = self.loop.now() + POLL_TIME
+        self.client.call(address, "GET", target, self._steered, deadline=until)
+
+    def _steered(self, reply: Reply | Fault) -> None:
+        self._polling = False
+        if self._ended:
+            return
+        ttl = 3.0
+        if isinstance(reply, Reply) and reply.status == 200:
+            try:
+                ttl = self._follow(json.loads(reply.body))
+            except (ValueError, KeyError, TypeError, IndexError, AttributeError):
+                pass  # an answer that cannot be followed is passed over, as the specification has it
+        elif isinstance(reply, Reply) and reply.status == 410:
+            self._steering = ""
+        if self._held:
+            what, self._held = self._held, ""
+            self.loop.call_at(self.loop.now() + AGAIN, self._again, what)
+        if self._steering:
+            self.loop.call_at(self.loop.now() + int(ttl * 1e6), self._poll)
+
+    def _again(self, what: str) -> None:
+        if not self._ended:
+            self._fetch(what)
+
+    def _follow(self, manifest: dict[str, Any]) -> float:
+        """Take a steering manifest; gives its TTL in seconds."""
+        self._steering = urljoin(self._steering, str(manifest.get("RELOAD-URI", self._steering)))
+        first = manifest["PATHWAY-PRIORITY"][0]
+        for clone in manifest.get("PATHWAY-CLONES", []):
+            if clone["ID"] == first:
+                put = clone["URI-REPLACEMENT"]
+                base = urlsplit(self._base)
+                moved = base._replace(netloc=put["HOST"]).geturl()
+                self.report.moves += moved != self._base
+                self._base, self._token = moved, put.get("PARAMS", {}).get("token", "")
+                self.report.host = put["HOST"]
+        return float(manifest.get("TTL", 300))
+
     def _played(self) -> None:
         self._reckon()
         self.report.whole = True
         url = urlsplit(urljoin(self._base, "end"))
         address = url.hostname or "", url.port or 80
         until = self.loop.now() + SEGMENT_TIME
-        self.client.call(address, "POST", url.path, lambda reply: self._finish("played"), deadline=until)
+        self.client.call(
+            address, "POST", self._shown(url.path), lambda reply: self._finish("played"), deadline=until
+        )
 
     def _finish(self, reason: str) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        self._book_gap()
         if reason != "played" and not self.report.whole:
             self.report.fault = reason
         self.report.reason = reason
--- a/tests/test_book.py
+++ b/tests/test_book.py
@@ -1,6 +1,5 @@
 """The session book alone: rows of the outcome table, hard cases, and random days without a network."""
 
-
 import pytest
 from helpers import S, box, settings
 from hypothesis import given
