--- a/mintmast/cli/__init__.py
+++ b/mintmast/cli/__init__.py
@@ -137,6 +137,48 @@
     sys.exit(0 if report.whole else 1)
 
 
+ADMIN = [
+    click.option("--admin", required=True, help="Administrative address of the gateway, HOST:PORT."),
+    click.option("--token", envvar="MINTMAST_ADMIN_TOKEN", default="", help="Operators' token."),
+]
+
+
+def _administrative(command: Any) -> Any:
+    for option in reversed(ADMIN):
+        command = option(command)
+    return command
+
+
+@main.command("drain")
+@click.argument("host")
+@click.option("--within", type=float, help="Seconds in which it is to be empty; what ends before that stays.")
+@_administrative
+def drain_host(host: str, within: float | None, admin: str, token: str) -> None:
+    """Drain HOST: nothing new goes there, sessions that may move do."""
+    from mintmast.cli.operate import operate
+
+    sys.exit(operate(admin, token, "POST", "/v1/drains", {"host": host, "on": True, "within_s": within}))
+
+
+@main.command("undrain")
+@click.argument("host")
+@_administrative
+def undrain_host(host: str, admin: str, token: str) -> None:
+    """Take the drain of HOST back."""
+    from mintmast.cli.operate import operate
+
+    sys.exit(operate(admin, token, "POST", "/v1/drains", {"host": host, "on": False}))
+
+
+@main.command("moves")
+@_administrative
+def moves(admin: str, token: str) -> None:
+    """Tell which hosts drain, which sessions move, and what holds each drain."""
+    from mintmast.cli.operate import operate
+
+    sys.exit(operate(admin, token, "GET", "/v1/moves", None))
+
+
 @main.command()
 @click.argument("name")
 @click.option("--seed", type=int, default=1, show_default=True, help="First seed.")
--- /dev/null
+++ b/mintmast/cli/operate.py
@@ -0,0 +1,49 @@
+"""`mintmast drain|undrain|moves`: calls to a gateway's administrative address."""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import Any
+
+from mintmast.http.client import ClientLimits, Fault, HttpClient, Reply
+from mintmast.loop.real import SelectorLoop
+
+SECOND = 1_000_000
+
+
+def operate(admin: str, token: str, method: str, path: str, body: dict[str, Any] | None) -> int:
+    """Make the call and print what it tells; 0 done, 1 not done, 2 bad use."""
+    host, _, port = admin.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+        print(f"mintmast: --admin {admin}: HOST:PORT is needed", file=sys.stderr)
+        return 2
+    loop = SelectorLoop()
+    replies: list[Reply | Fault] = []
+
+    def done(reply: Reply | Fault) -> None:
+        replies.append(reply)
+        loop.stop()
+
+    data = json.dumps(body).encode() if body is not None else b""
+    client = HttpClient(loop, ClientLimits(connect_time=2 * SECOND))
+    headers = [("Authorization", f"Bearer {token}")]
+    client.call((host, int(port)), method, path, done, headers, data, loop.now() + 5 * SECOND)
+    loop.run()
+    reply = replies[0]
+    if isinstance(reply, Fault):
+        print(f"mintmast: {admin}: {reply.value}", file=sys.stderr)
+        return 1
+    if reply.status != 200:
+        print(f"mintmast: {reply.status} {reply.body.decode('utf-8', 'replace')}", file=sys.stderr)
+        return 1
+    told = json.loads(reply.body)
+    for name, about in told["draining"].items():
+        print(f"{name}: {about['sessions']} sessions, {len(about['moving'])} moving")
+        for session, stage in about["moving"].items():
+            print(f"  {session} {stage}")
+        for session, why in about["held_by"].items():
+            print(f"  {session} stays: {why}")
+    counts = ", ".join(f"{name} {count}" for name, count in told["counts"].items())
+    print(f"moves so far: {counts}" if told["draining"] else f"nothing drains; moves so far: {counts}")
+    return 0
--- a/mintmast/decisions/book.py
+++ b/mintmast/decisions/book.py
@@ -682,6 +682,9 @@
         if server not in self._renewing:
             self._renewing.add(server)
             self._out.append(Wake(now + renew_every(self._lease), ("renew", server)))
+        if session.lease is not None and session.lease.sure_until - now < 2 * renew_every(self._lease):
+            # the reading was old when the set-up was sent; the reply brought a fresh one
+            self._restore(now, session)
         self._give_all(session, Verdict.PLAYS)
         self._feed(now, api.Playing(number, attempt, server, took))
         if session.came is not None:
--- a/mintmast/decisions/lease.py
+++ b/mintmast/decisions/lease.py
@@ -40,10 +40,12 @@
         """Take a reading that came at `now`, in answer to a call sent at `asked` or (None) by itself."""
         if reading < self.reading:
             return  # an old word that came late
-        if asked is None:
-            # on from the last reading, at the least rate that its clock can have had against ours
-            asked = self.sure_at + int((reading - self.reading) * (1 - DRIFT)) if self.reading >= 0 else now
-        self.reading, self.heard_at, self.sure_at = reading, now, min(asked, now)
+        bounds = [] if asked is None else [asked]
+        if self.reading >= 0:
+            # on from the last reading, at the least rate that its clock can have had against ours: a reply
+            # that was long under way must not make a bound worse that was known better
+            bounds.append(self.sure_at + int((reading - self.reading) * (1 - DRIFT)))
+        self.reading, self.heard_at, self.sure_at = reading, now, min(max(bounds, default=now), now)
 
 
 @dataclass(slots=True)
--- a/tests/test_book.py
+++ b/tests/test_book.py
@@ -1,5 +1,7 @@
 """The session book alone: rows of the outcome table, hard cases, and random days without a network."""
 
+import random
+
 import pytest
 from helpers import S, box, settings
 from hypothesis import given
@@ -208,25 +210,10 @@
             assert lease.sure_until <= over + 1
 
 
+KINDS = "ask ask ask again gone start start fail fail wait lost hello drain drain over poll poll poll".split()
 EVENTS = st.lists(
     st.tuples(
-        st.sampled_from(
-            [
-                "ask",
-                "ask",
-                "ask",
-                "again",
-                "gone",
-                "start",
-                "fail",
-                "fail",
-                "wait",
-                "lost",
-                "hello",
-                "drain",
-                "over",
-            ]
-        ),
+        st.sampled_from(KINDS),
         st.integers(0, 10**6),
     ),
     max_size=120,
@@ -246,24 +233,46 @@
     world.finished()
 
 
+def test_busy_random_days_move_sessions_and_keep_the_same_promises():
+    counts = dict.fromkeys(("moved", "lost", "stayed", "over"), 0)
+    for seed in range(120):
+        draw = random.Random(seed)
+        book = new_book(servers=5, budget=api.AttemptBudget(5 * S, 5, 1.0))
+        world = Fake(book)
+        for _ in range(150):
+            world.step(draw.choice(KINDS), draw.randrange(10**6))
+        for _ in range(100):
+            world.step("wait", 250_000)
+        world.finished()
+        for name, count in book.counts.items():
+            counts[name] += count
+    assert all(counts.values()), counts
+
+
 class Fake:
     """Hosts and viewers as a random day has them; what the book sends is checked as it is sent."""
 
     def __init__(self, book):
         self.book, self.now, self.asks = book, T0, 0
         self.out, self.wakes, self.answered, self.deadline = {}, [], {}, {}
+        self.polls, self.polled = set(), 0
         self.may_have_run, self.paid, self.left, self.held = set(), {}, set(), {}
         self.key_ran = {}
 
     def take(self, event):
         for command in self.book.take(self.now, event):
             match command:
-                case b.SendSetUp(session, attempt, server, _, epoch, until, ask):
+                case b.Steer(poll):
+                    assert poll in self.polls, "a second answer to a poll"
+                    self.polls.remove(poll)
+                case b.SendSetUp(session, attempt, server, _, epoch, until, ask, _, _, moved_from):
+                    assert moved_from not in {number for number, _ in self.held}, "moved while it plays"
+                    assert not (moved_from and ask.service == 0), "a paid session moved"
                     assert session not in self.out, "two attempts out"
                     paid = ask.service == 0
                     assert not (paid and session in self.may_have_run), "paid session sent again"
                     assert not (paid and self.key_ran.get(ask.key)), "paid key sent again"
-                    assert until <= self.deadline[ask.ask]
+                    assert not ask.ask or until <= self.deadline[ask.ask]
                     self.out[session] = (attempt, server, epoch, until, ask)
                     self.held[session, server] = epoch
                 case b.CallOff(session, _):
@@ -284,7 +293,10 @@
                 case b.SendRenew(server, sessions, _, call):
                     numbers = tuple(each[0] for each in sessions)
                     self.wakes.append(
-                        (self.now + 1000, b.Renewed(server, self.now, call, True, True, numbers))
+                        (
+                            self.now + 1000,
+                            b.Renewed(server, self.now, call, True, True, numbers, (), b.Told((), self.now)),
+                        )
                     )
 
     def step(self, what, draw):
@@ -313,6 +325,11 @@
                 if session not in self.out:
                     self.held.pop((session, server), None)
                     self.take(b.SessionEnded(server, session))
+        elif what == "poll" and self.book.sessions:
+            self.polled += 1
+            self.polls.add(self.polled)
+            session = sorted(self.book.sessions)[draw % len(self.book.sessions)]
+            self.take(b.Poll(self.polled, session, draw % 5 * 3 * S, S))
         elif what == "lost":
             if draw % 3:
                 self.died(box(draw % 5).server)
@@ -338,9 +355,13 @@
                 self.key_ran[ask.key] = True
         else:
             self.held.pop((session, server), None)
-        self.take(b.SetUpEnded(session, attempt, evidence))
+        replied = evidence in (Evidence.STARTED, Evidence.FULL, Evidence.FENCED, Evidence.HOST_ERROR)
+        told = b.Told((), self.now) if replied else b.NOTHING
+        self.take(b.SetUpEnded(session, attempt, evidence, told))
 
     def wait(self, until):
+        for server in [box(n).server for n in range(5)]:
+            self.take(b.HostTick(server, self.now))
         while True:
             due = [(until_, s) for s, (_, _, _, until_, _) in self.out.items() if until_ <= until]
             wakes = [at for at, _ in self.wakes if at <= until]
@@ -359,6 +380,6 @@
 
     def finished(self):
         assert set(self.answered) | self.left == set(range(1, self.asks + 1)), "an ask without an answer"
-        assert not self.out
+        assert not self.out and not self.polls
         held = {session for session, _ in self.held}
         assert held <= set(self.book.sessions), "a host holds a session that nobody ends"
