--- a/mintmast/decisions/book.py
+++ b/mintmast/decisions/book.py
@@ -34,6 +34,9 @@
 END_AGAIN = SECOND // 2
 # µs for one try: a host that cannot say yes in this time is asked again
 END_TIME = 2 * SECOND
+# sessions in one renewal: some 20 kB, well under what a host takes as a body, and no long turn for either
+# side
+RENEWED_AT_ONCE = 200
 # µs for which the key of a paid session that may have run is kept: past any viewer's second try, within what
 # a gateway can hold (a day at 6 a second is 500,000 keys; an hour is 20,000)
 KEY_KEPT = 3600 * SECOND
@@ -803,9 +806,10 @@
             for each in at.values()
             if each.lease is not None and now < each.lease.sure_until and each.move is None
         ]
-        if held:
-            number, clock = self._lease_call(now, server, held)
-            sessions = tuple((each.number, each.epoch, each.rung) for each in held)
+        for first in range(0, len(held), RENEWED_AT_ONCE):
+            some = held[first : first + RENEWED_AT_ONCE]
+            number, clock = self._lease_call(now, server, some)
+            sessions = tuple((each.number, each.epoch, each.rung) for each in some)
             self._out.append(SendRenew(server, sessions, now + every, number, clock, self._lease))
         self._out.append(Wake(now + every, ("renew", server)))
 
--- a/tests/test_book.py
+++ b/tests/test_book.py
@@ -148,6 +148,15 @@
     assert now >= T0 + (renewals + 3) * LEASE // 3
 
 
+def test_many_sessions_at_a_host_are_renewed_in_calls_that_a_host_takes():
+    book = new_book(servers=1, kind_streams=(5000,), weight_kb=1e9, links_kb=1e9, uplink_kb=0.0)
+    for number in range(1, 951):
+        sent = playing(book, number, T0 + number * 1000)
+    renewals = only(book.take(T0 + 2 * S, b.Due(("renew", sent.server))), b.SendRenew)
+    assert [len(each.sessions) for each in renewals] == [200, 200, 200, 200, 150]
+    assert len({each.number for each in renewals}) == 5
+
+
 def test_a_host_that_refuses_connections_is_gone_until_it_says_hello_and_its_sessions_are_over():
     book = new_book(servers=1)
     sent = playing(book)
