Player follows live titles at their edge; drills count what stayed, doubles and epochs together

The player began live titles at their first segment. It now starts behind the live edge and asks for a segment when it is there. Measured: a live title of 20 s plays without a gap in memory, its refreshed manifest is the same session.

--- a/mintmast/lab/audit.py
+++ b/mintmast/lab/audit.py
@@ -108,23 +108,28 @@
             found.see("set_up_once", *[f"{name}: attempts {first} and {second} out together"] * both)
 
 
-def moves(rows: list[Row], found: Findings) -> int:
-    """Check that no moved session was set up while the one before it might play; give the number of moves."""
+def moves(rows: list[Row], found: Findings) -> dict[str, int]:
+    """Check that no moved session was set up while the one before it might play; give what was counted."""
     over: dict[str, int] = {}
     for row in rows:
         if row["what"] == "session_over":
             over[row["session"]] = row["since"]
         elif row["what"] == "host_died":
             over.update(dict.fromkeys(row["sessions"], row["at"]))
-    moved = 0
+    moved = together = 0
+    paid: dict[str, int] = {}
     for row in rows:
+        if row["what"] == "ran" and row["paid"]:
+            paid[row["key"]] = paid.get(row["key"], 0) + 1
         if row["what"] != "ran" or not row["came_from"]:
             continue
         moved += 1
         both = over.get(row["came_from"], 1 << 62) > row["at"]
+        together += both
         faults = [f"{row['session']}: ran while {row['came_from']} played"] * both
         found.see("set_up_once", *faults, *[f"{row['session']}: a paid session was moved"] * row["paid"])
-    return moved
+    doubles = sum(count > 1 for count in paid.values())
+    return {"moved": moved, "epochs_together": together, "double_paid": doubles}
 
 
 def _attempts(by: dict[str, list[Row]]) -> dict[str, list[tuple[int, int, int]]]:
--- a/mintmast/lab/drills.py
+++ b/mintmast/lab/drills.py
@@ -376,7 +376,7 @@
             lines = "".join(json.dumps(row) + "\n" for row in stage.rows)
             Path(keep, f"{name}-{net}-{seed}.jsonl").write_text(lines, encoding="utf-8")
         found = audit(stage.rows, terms(stage, conf))
-        viewers.measures["moved"] = moves(stage.rows, found)
+        viewers.measures.update(moves(stage.rows, found))
         viewers.measures.update(_emptied(stage.rows))
         return _report(name, seed, net, stage, viewers, found)
     finally:
@@ -384,10 +384,10 @@
 
 
 def _emptied(rows: list[dict[str, Any]]) -> dict[str, Any]:
-    """Give, of hosts that drained to their end, paid sessions kept there and the longest time to empty."""
+    """Give, of draining hosts, paid sessions kept there, free ones that stayed, the longest time to empty."""
     held: dict[str, dict[str, bool]] = {}
     began: dict[str, int] = {}
-    kept, longest = 0, 0.0
+    kept, given_up, longest = 0, 0, 0.0
     for row in rows:
         host = row.get("host", "")
         if row["what"] == "ran":
@@ -399,10 +399,11 @@
             began.pop(host, None)
             held.pop(host, None)
         elif row["what"] == "session_over":
-            held.get(host, {}).pop(row["session"], None)
+            paid = held.get(host, {}).pop(row["session"], True)
+            given_up += host in began and not paid and row["why"] == "played"
             if host in began and not held.get(host):
                 longest = max(longest, (row["at"] - began[host]) / 1e6)
-    return {"kept_paid": kept, "longest_to_empty_s": round(longest, 3)}
+    return {"kept_paid": kept, "given_up": given_up, "longest_to_empty_s": round(longest, 3)}
 
 
 def _report(name: str, seed: int, net: str, stage: Any, viewers: Viewers, found: Findings) -> dict[str, Any]:
--- a/mintmast/player/dash.py
+++ b/mintmast/player/dash.py
@@ -7,6 +7,7 @@
 import re
 from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
+from datetime import datetime
 from typing import Any
 from urllib.parse import quote, urljoin, urlsplit
 
@@ -90,6 +91,7 @@
         self._mb = math.inf
         self._buffer = self._gap = 0.0
         self._at = 0  # when the buffer was last reckoned
+        self._live_from: float | None = None  # wall clock of a live title's first segment
         self._steering = ""
         self._token = ""  # shown as a parameter at a pathway clone
         self._polling = self._ended = False
@@ -140,6 +142,10 @@
         length = _seconds(root.get("mediaPresentationDuration"))
         if root.get("type") == "dynamic":
             length = self.most
+            origin = datetime.fromisoformat(root.get("availabilityStartTime"))
+            self._live_from = origin.timestamp() - (self._next - 1) * self._segment_s
+            behind = int(_seconds(root.get("suggestedPresentationDelay", "PT6S")) / self._segment_s)
+            self._next = max(1, int((self.loop.wall() - self._live_from) / self._segment_s) - behind + 1)
         self._count = math.ceil(min(length, self.most) / self._segment_s)
 
     def _hear(self, reply: Reply) -> None:
@@ -190,6 +196,8 @@
             self.loop.call_at(self.loop.now() + int(self._buffer * 1e6), self._played)
             return
         wait = max(0.0, self._buffer + self._segment_s - BUFFER_S)
+        if self._live_from is not None:  # a segment of a live title is there when it is over (A.3.2)
+            wait = max(wait, self._live_from + self._next * self._segment_s - self.loop.wall())
         self.loop.call_at(self.loop.now() + int(wait * 1e6), self._fetch, "media")
 
     def _reckon(self) -> None:
--- a/tests/test_dash.py
+++ b/tests/test_dash.py
@@ -11,6 +11,7 @@
 from mintmast.fronts.tokens import AccessTokens, Keys, TokenError
 from mintmast.http.client import Fault
 from mintmast.lab.stage import ACCESS, SESSION
+from mintmast.player import Player
 
 
 def base_of(reply):
@@ -55,6 +56,26 @@
     assert re.fullmatch(rb"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z", replies[0].body)
 
 
+def test_a_live_title_plays_at_its_edge_and_its_refreshed_manifest_is_the_same_session():
+    def live(conf):
+        conf["titles"]["gate-1"]["live"] = True
+
+    small = Small(hosts=2, change=live)
+    reports = []
+    headers = [("Authorization", f"Bearer {small.stage.token('viewer', 'brzi', FREE, 3, 'k')}")]
+    url = "http://gw0:8080/dash/gate-1/manifest.mpd"
+    begun = small.stage.now()
+    Player(small.stage.viewers, small.stage.client, url, headers, 3 * SECOND, reports.append, most=20.0)
+    small.run(5)
+    again, _ = small.manifest(FREE)
+    while not reports:
+        small.run(0.1)
+    report = reports[0]
+    assert report.whole and report.gaps == 0 and report.played_s == pytest.approx(20.0)
+    assert (small.stage.now() - begun) / SECOND >= 13  # no segment before it was there
+    assert base_of(again[0])[0] == report.host and len(small.seen("ran")) == 1
+
+
 def test_a_token_opens_nothing_on_another_title_host_or_rung_nor_after_its_end():
     small = Small()
     replies, _ = small.manifest(rung=2)
