--- a/mintmast/lab/drills.py
+++ b/mintmast/lab/drills.py
@@ -8,7 +8,7 @@
 import json
 import math
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -330,6 +330,8 @@
 # clips long enough to be moved in their midst, and room for them elsewhere
 DRAIN_DAY = Day(rate=8.0, load_s=12.0, whole_s=44.0, link_kb=600.0, uplink_kb=1800.0, shortest=14.0)
 DAYS = {name: DRAIN_DAY for name in DRILLS if name.startswith("drain")}
+# the rest of the fleet has room for about half of what the draining rack holds
+DAYS["drain-rack"] = replace(DRAIN_DAY, rate=14.0, link_kb=450.0, uplink_kb=1300.0)
 
 
 def terms(stage: Stage, conf: dict[str, Any]) -> Terms:
