Eureka's registry as a source of the list: deltas checked by hash, failover, stand-in, drills

Other installations keep their hosts in a registry. The gateway reads it in full and by deltas (JSON, XML, gzip), reads anew where the hash disagrees, asks the next node when one fails, keeps what it had when all are dark, and can register itself. A stand-in speaks the API with faults.

--- a/mintmast/cli/sources.py
+++ b/mintmast/cli/sources.py
@@ -21,7 +21,10 @@
             print(f"mintmast: {line}", file=sys.stderr)
         return 2
     old: tuple[ListEntry, ...] = config.entries
-    if "list" in config.raw and Path(config["list"]["file"]).resolve() != Path(file).resolve():
+    if (
+        "file" in config.raw.get("list", {})
+        and Path(config["list"]["file"]).resolve() != Path(file).resolve()
+    ):
         try:
             old = _read(config["list"]["file"], config)
         except ConfigError:
--- a/mintmast/config/load.py
+++ b/mintmast/config/load.py
@@ -123,7 +123,7 @@
                 out[key] = part["default"]
             elif part.get("type") == "array":
                 out[key] = []
-            elif part.get("type") == "object" and not part.get("required"):
+            elif part.get("type") == "object" and not part.get("required") and "anyOf" not in part:
                 out[key] = filled(part, {})
         return out
     if schema.get("type") == "array" and isinstance(value, list):
--- a/mintmast/config/schema.py
+++ b/mintmast/config/schema.py
@@ -204,11 +204,27 @@
             ),
         },
         servers=_list(_SERVER, 0, 100_000, "the media hosts"),
-        list=_obj(
-            "file",
-            file=_text("watched file of servers, in place of `servers`"),
-            every_ms=_int(10, 60_000, "the file is looked at so often", 200),
-        ),
+        list={
+            **_obj(
+                "",
+                file=_text("watched file of servers, in place of `servers`"),
+                every_ms=_int(10, 60_000, "file and registry are looked at so often", 200),
+                registry=_obj(
+                    "addresses app",
+                    addresses=_list(
+                        _text(
+                            "base of a Eureka node's REST operations", pattern=r"^http://[^/\s]+(/[^\s]*)?$"
+                        ),
+                        1,
+                        100,
+                        "nodes, asked in turn when one fails",
+                    ),
+                    app=_text("application whose instances are the media hosts", pattern=NAME),
+                    register=_text("application under which the gateway registers itself", pattern=NAME),
+                ),
+            ),
+            "anyOf": [{"required": ["file"]}, {"required": ["registry"]}],
+        },
         tokens=_obj(
             "access session",
             access=_list(_KEY, 1, 1000, "keys that sign viewers' access tokens"),
--- a/mintmast/gateway.py
+++ b/mintmast/gateway.py
@@ -19,10 +19,14 @@
 from mintmast.http.server import Exchange, HttpServer
 from mintmast.interface import ServerState
 from mintmast.loop import Loop
+from mintmast.sources.eureka import Registration
 from mintmast.sources.fixed import FixedList, SavedList
 from mintmast.sources.merged import MergedList
 from mintmast.telemetry import Metrics, Traces
 
+# µs between renewals in the registry: Eureka's own default, a third of the time after which it forgets
+REGISTER_EVERY = 30_000_000
+
 
 class DrainOrder(msgspec.Struct):
     """What an operator asks of a host; `within_s` is how soon it is to be empty."""
@@ -68,8 +72,7 @@
         self.list: FixedList | MergedList = FixedList(config.entries, saved)
         if "list" in config.raw:
             told = config["list"]
-            fleet, every = config["fleet"], told["every_ms"] * 1000
-            self.list = MergedList(loop, Path(told["file"]), every, fleet, saved, self.say)
+            self.list = MergedList(loop, told, config["fleet"], seed, saved, self.say)
         names = [title.name for title in config.titles.values()]
         self.core = Core(
             loop,
@@ -90,6 +93,16 @@
         if "admin" in config.raw:
             admin = config["admin"]
             self.admin = HttpServer(loop, admin["host"], admin["port"], self._administer)
+        self.registration = None
+        register = config.raw.get("list", {}).get("registry", {}).get("register")
+        if register is not None:
+            node = config["list"]["registry"]["addresses"][0]
+            name = f"{config['gateway']}:{self.dash.server.port}"
+            host = config["listen"]["host"]
+            self.registration = Registration(
+                loop, node, register, name, host, self.dash.server.port, REGISTER_EVERY
+            )
+            self.registration.start()
         self.core.begin()
         self.say("serving", port=self.dash.server.port, start=start, hosts=len(config.entries))
 
@@ -160,5 +173,7 @@
     def close(self) -> None:
         """Accept nothing more and break what is open."""
         self.dash.server.close()
+        if self.registration is not None:
+            self.registration.cancel()
         if self.admin is not None:
             self.admin.close()
--- a/mintmast/lab/drills.py
+++ b/mintmast/lab/drills.py
@@ -365,7 +365,48 @@
         stage.at(0.5 + step * place + draw.uniform(0, step / 2), act)
 
 
+def registry(stage: Any, day: Day, seed: int, kind: str = "") -> None:
+    """Script a registry's troubles: answers that are none, a dark one, a half-empty list, changes."""
+    draw = random.Random(f"{seed}/faults")
+    first, second = stage.registries
+    known = list(range(day.hosts - 2))
+    drains, stops, late = *draw.sample(known, 2), day.hosts - 2
+    load = day.load_s
+
+    def both(**faults: Any) -> None:
+        for node in (first, second):
+            for name, value in faults.items():
+                setattr(node, name, value)
+
+    if kind == "calm":
+        return
+    if kind == "dark":
+        stage.at(load * 0.2, lambda: both(hang=True))
+        return
+    if kind == "half":
+        begin = draw.uniform(1, load / 2)
+        stage.at(begin, lambda: both(half=0.5))
+        stage.at(begin + draw.uniform(0.3, 6.0), lambda: both(half=1.0))
+        return
+    faults = ["hang", "cut", "wrong_hash", "wrong_types", "packed", "errors", "form"]
+    draw.shuffle(faults)
+    step = load / 10
+    for place, fault in enumerate(faults):  # one node after the other, each for a while
+        node = draw.choice([first, second])
+        value, back = {"errors": (500, 0), "form": ("xml", "json")}.get(fault, (True, False))
+        begin = step * (place + draw.random() / 2)
+        stage.at(begin, setattr, node, fault, value)
+        stage.at(begin + step, setattr, node, fault, back)
+    stage.at(load * 0.3, stage.tell_registries, late)
+    stage.at(load * 0.8, stage.tell_registries, drains, "OUT_OF_SERVICE")
+    stage.at(load * 0.85, stage.tell_registries, stops, "DOWN")
+
+
 DRILLS = {
+    "registry": registry,
+    "registry-calm": partial(registry, kind="calm"),
+    "registry-dark": partial(registry, kind="dark"),
+    "registry-half": partial(registry, kind="half"),
     "files": files,
     "bad-day": bad_day,
     "drain": drain,
@@ -377,12 +418,17 @@
 DRAIN_DAY = Day(rate=8.0, load_s=12.0, whole_s=44.0, link_kb=600.0, uplink_kb=1800.0, shortest=14.0)
 DAYS = {name: DRAIN_DAY for name in DRILLS if name.startswith("drain")}
 # the rest of the fleet has room for about half of what the draining rack holds
-DAYS["files"] = Day(hosts=10, rate=10.0, load_s=18.0, whole_s=36.0, link_kb=500.0, uplink_kb=2000.0)
+DAYS["files"] = Day(hosts=10, rate=18.0, load_s=18.0, whole_s=36.0, link_kb=300.0, uplink_kb=1200.0)
+DAYS.update({name: DAYS["files"] for name in DRILLS if name.startswith("registry")})
 DAYS["drain-rack"] = replace(DRAIN_DAY, rate=14.0, link_kb=450.0, uplink_kb=1300.0)
 
 
 def prepare(name: str, stage: Any, day: Day) -> None:
     """Put in place what a drill needs before its gateways start."""
+    if name.startswith("registry"):
+        stage.start_registries(2)
+        for number in range(day.hosts - 2):
+            stage.tell_registries(number)
     if name != "files":
         return
     path = Path(stage.folder.name, "servers.json")
--- a/mintmast/lab/stage.py
+++ b/mintmast/lab/stage.py
@@ -18,10 +18,12 @@
 
 from mintmast.config import parse
 from mintmast.decisions.outcomes import TABLE, Evidence, Row
+from mintmast.decisions.registry import STATES
 from mintmast.fronts.tokens import Keys, SessionTokens
 from mintmast.gateway import Gateway
 from mintmast.http.client import ClientLimits, HttpClient
 from mintmast.interface import Outcome
+from mintmast.lab.registry import RegistryStandIn
 from mintmast.lab.standin import HostModel, Rack, StandIn
 from mintmast.loop.memory import World
 from mintmast.loop.real import SelectorLoop
@@ -29,7 +31,7 @@
 _SECRET = "c3RhZ2Utb25seS1zZWNyZXQtb2YtdGhpcnR5LXR3by1ieXRlcw"
 ACCESS = {"kty": "oct", "kid": "viewers-1", "alg": "HS256", "k": _SECRET}
 SESSION = {"kty": "oct", "kid": "sessions-1", "alg": "HS256", "k": _SECRET[::-1].replace("=", "A")}
-HOST_PORT, GATEWAY_PORT = 9000, 8080
+HOST_PORT, GATEWAY_PORT, REGISTRY_PORT = 9000, 8080, 8761
 # s; a gateway's process must serve by then, else the stage is no stage
 START_TIME = 30
 
@@ -107,6 +109,29 @@
             **more,
         }
 
+    def start_registries(self, count: int) -> None:
+        """Start registry nodes that know all hosts but the last two."""
+        self.registries = []
+        for number in range(count):
+            loop, name, port = self.place(f"registry{number}", REGISTRY_PORT)
+            self.registries.append(RegistryStandIn(loop, name, port))
+        self.settings["list"] = {
+            "every_ms": 250,
+            "registry": {
+                "addresses": [
+                    f"http://{self.place_name(n)}:{r.port}/eureka" for n, r in enumerate(self.registries)
+                ],
+                "app": "MEDIA",
+            },
+        }
+
+    def tell_registries(self, number: int, status: str = "UP", up_ms: int = 0) -> None:
+        """Write a host's status to all registry nodes, and to the record."""
+        for registry in self.registries:
+            registry.put(self.hosts[number].name, status, up_ms, cell=number, zone=number % 2)
+        state = STATES[status].name.lower()
+        self.record("list_written", states={self.hosts[number].name: state})
+
     def listed(self, number: int, **more: Any) -> dict[str, Any]:
         """Give a host as a list has it."""
         return {"address": self.hosts[number].name, "cell": number, "zone": number % 2, **more}
@@ -123,6 +148,14 @@
 
     def host_place(self, number: int) -> tuple[Any, str, int]:
         """Give loop, address and port of a host."""
+        return self.place(f"host{number}", HOST_PORT)
+
+    def place(self, name: str, port: int) -> tuple[Any, str, int]:
+        """Give loop, address and port of a machine."""
+        raise NotImplementedError
+
+    def place_name(self, number: int) -> str:
+        """Give the address of a registry node."""
         raise NotImplementedError
 
     def at(self, seconds: float, do: Callable[..., Any], *args: Any) -> None:
@@ -153,9 +186,13 @@
         """Give the world's wall clock."""
         return self.viewers.wall()
 
-    def host_place(self, number: int) -> tuple[Any, str, int]:
+    def place(self, name: str, port: int) -> tuple[Any, str, int]:
         """Give a fresh node."""
-        return self.world.node(f"host{number}"), f"host{number}", HOST_PORT
+        return self.world.node(name), name, port
+
+    def place_name(self, number: int) -> str:
+        """Give a registry's node."""
+        return f"registry{number}"
 
     def kill_host(self, number: int) -> None:
         """Kill a host's node with it."""
@@ -233,9 +270,13 @@
                 self._ports[name] = probe.getsockname()[1]
         return self._ports[name]
 
-    def host_place(self, number: int) -> tuple[Any, str, int]:
+    def place(self, name: str, port: int) -> tuple[Any, str, int]:
         """Give the one loop and a port kept over restarts."""
-        return self.loop, "127.0.0.1", self._port(f"host{number}")
+        return self.loop, "127.0.0.1", self._port(name)
+
+    def place_name(self, number: int) -> str:
+        """Give loopback."""
+        return "127.0.0.1"
 
     def start_gateway(self, number: int) -> None:
         """Start a gateway's process."""
--- /dev/null
+++ b/mintmast/sources/eureka.py
@@ -0,0 +1,254 @@
+"""Reads Eureka's registry over HTTP and keeps the gateway registered there (Eureka REST operations).
+
+Bodies are JSON or XML; sizes and types are not trusted. A read that cannot be understood changes nothing.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+import zlib
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote, urlsplit
+
+import msgspec
+from lxml import etree
+
+from mintmast.decisions.registry import Instance, Reader, entries
+from mintmast.http.client import ClientLimits, Fault, HttpClient, Reply
+from mintmast.interface import ListEntry
+from mintmast.loop import Loop
+
+SECOND = 1_000_000
+# bytes of a body, as sent and unpacked: 10,000 instances are some 15 MB of JSON
+MOST_BYTES = 64 << 20
+
+
+class RegistryError(Exception):
+    """What a registry said cannot be understood."""
+
+
+def _many(value: Any) -> list[Any]:
+    """Give a list: the JSON of one element is the element itself in some versions."""
+    return value if isinstance(value, list) else [] if value is None else [value]
+
+
+def _number(value: Any, least: float, most: float) -> float:
+    if isinstance(value, dict):  # {"$": 9000, "@enabled": "true"}
+        value = value.get("$")
+    number = float(value)
+    if not math.isfinite(number) or not least <= number <= most:
+        raise ValueError(f"{number} is not from {least} to {most}")
+    return number
+
+
+def _instance(app: str, raw: dict[str, Any], now: int, wall: float) -> tuple[str, Instance]:
+    meta = raw.get("metadata") or {}
+    lease = raw.get("leaseInfo") or {}
+    up = _number(lease.get("serviceUpTimestamp") or 0, 0, 1e15) / 1000
+    # a registry's clock may be ahead of ours: nothing has started later than now
+    started = min(now, max(1, now - int((wall - up) * 1e6))) if up else 0
+    overridden = str(raw.get("overriddenStatus") or raw.get("overriddenstatus") or "UNKNOWN")
+    status = str(raw["status"]) if overridden == "UNKNOWN" else overridden
+    host = str(raw.get("ipAddr") or raw["hostName"])
+    port = int(_number(raw["port"], 1, 65_535))
+    instance = Instance(
+        app,
+        str(raw.get("instanceId") or f"{host}:{port}"),
+        f"{host}:{port}",
+        status,
+        started,
+        int(_number(meta.get("cell", 0), 0, 65_535)),
+        int(_number(meta.get("zone", 0), 0, 65_535)),
+        int(_number(meta.get("kind", 0), 0, 65_535)),
+        _number(meta.get("weight", 1.0), 1e-3, 1e6),
+    )
+    return str(raw.get("actionType") or "ADDED"), instance
+
+
+def read_applications(
+    body: bytes, xml: bool, now: int, wall: float
+) -> tuple[list[tuple[str, Instance]], str, list[str]]:
+    """Give (action, instance) of each, the hash told, and the faults of instances passed over.
+
+    Raises RegistryError for a body that is not of the kind; a single bad instance costs only itself.
+    """
+    try:
+        top = _from_xml(body) if xml else msgspec.json.decode(body)["applications"]
+        told = str(top.get("apps__hashcode") or "")
+        found, faults = [], []
+        for app in _many(top.get("application")):
+            for raw in _many(app.get("instance")):
+                try:
+                    found.append(_instance(str(app["name"]), raw, now, wall))
+                except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+                    faults.append(f"instance of {app.get('name')} passed over: {error!r}")
+        return found, told, faults
+    except (msgspec.DecodeError, etree.XMLSyntaxError, KeyError, TypeError, AttributeError) as error:
+        raise RegistryError(f"not a list of applications: {error!r}"[:200]) from None
+    except (RecursionError, ValueError) as error:
+        raise RegistryError(f"not a list of applications: {error!r}"[:200]) from None
+
+
+def _from_xml(body: bytes) -> dict[str, Any]:
+    parser = etree.XMLParser(resolve_entities=False, no_network=True, huge_tree=False, load_dtd=False)
+    root = etree.fromstring(body, parser)
+    if root.tag != "applications":
+        raise ValueError(f"the root is {root.tag}")
+
+    def plain(node: Any) -> Any:
+        if len(node) == 0:
+            return node.text
+        return {child.tag: plain(child) for child in node}
+
+    apps = []
+    for app in root.iterfind("application"):
+        instances = [plain(each) for each in app.iterfind("instance")]
+        apps.append({"name": app.findtext("name"), "instance": instances})
+    return {"apps__hashcode": root.findtext("apps__hashcode"), "application": apps}
+
+
+class EurekaSource:
+    """Polls a registry; `good` hears each changed list, `bad` why a poll was in vain."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        addresses: tuple[str, ...],
+        app: str,
+        every: int,
+        seed: int,
+        good: Callable[[tuple[ListEntry, ...]], None],
+        bad: Callable[[str], None],
+        say: Callable[..., None],
+    ) -> None:
+        self.loop, self.app = loop, app
+        self.reader = Reader(addresses, every)
+        self._random = random.Random(seed)
+        self._good, self._bad, self._say = good, bad, say
+        limits = ClientLimits(connect_time=max(1, every // 2), body_bytes=MOST_BYTES)
+        self._client = HttpClient(loop, limits, "mintmast")
+        self._etag: dict[str, str] = {}
+
+    def start(self) -> None:
+        """Ask now, and from now on."""
+        self._poll()
+
+    def _poll(self) -> None:
+        address, delta = self.reader.ask()
+        parts = urlsplit(address)
+        target = f"{parts.path.rstrip('/')}/apps{'/delta' if delta else ''}"
+        headers = [("Accept", "application/json, application/xml;q=0.5"), ("Accept-Encoding", "gzip")]
+        if target in self._etag and delta:
+            headers.append(("If-None-Match", self._etag[target]))
+        # a poll that takes longer than its time is in vain: the next one is due
+        until = self.loop.now() + self.reader.every
+        place = parts.hostname or "", parts.port or 80
+        self._client.call(
+            place,
+            "GET",
+            target,
+            lambda reply: self._answered(address, target, delta, reply),
+            headers,
+            b"",
+            until,
+        )
+
+    def _answered(self, address: str, target: str, delta: bool, reply: Reply | Fault) -> None:
+        again = self.reader.next(self.loop.now(), self._random.random())
+        try:
+            if isinstance(reply, Fault):
+                raise RegistryError(reply.value)
+            if reply.status == 304 and delta:
+                self.reader.fails = 0
+            elif reply.status != 200:
+                raise RegistryError(f"status {reply.status}")
+            else:
+                again = self._take(target, delta, reply) or again
+        except RegistryError as error:
+            self.reader.failed()
+            self._bad(f"{address}: {error}")
+        self.loop.call_at(again, self._poll)
+
+    def _take(self, target: str, delta: bool, reply: Reply) -> int | None:
+        body = reply.body
+        if reply.headers.get("content-encoding") == "gzip":
+            body = _unpacked(body)
+        xml = "xml" in reply.headers.get("content-type", "")
+        found, told, faults = read_applications(body, xml, self.loop.now(), self.loop.wall())
+        for fault in faults[:5]:
+            self._say("registry_instance", fault=fault)
+        if delta:
+            changed = self.reader.delta(found, told)
+            if changed is None:  # the hash disagrees: all is read at once
+                return self.loop.now()
+        else:
+            changed = self.reader.full(instance for _, instance in found)
+        self._etag[target] = reply.headers.get("etag", "")
+        if changed:
+            self._good(entries(self.reader.known.values(), self.app))
+        return None
+
+
+def _unpacked(body: bytes) -> bytes:
+    unpacker = zlib.decompressobj(31)
+    try:
+        data = unpacker.decompress(body, MOST_BYTES)
+    except zlib.error as error:
+        raise RegistryError(f"not gzip: {error}") from None
+    if unpacker.unconsumed_tail:
+        raise RegistryError(f"unpacks to more than {MOST_BYTES} bytes")
+    return data
+
+
+class Registration:
+    """Keeps the gateway registered: register, renew, register again when forgotten, cancel at the end."""
+
+    def __init__(
+        self, loop: Loop, address: str, app: str, name: str, host: str, port: int, every: int
+    ) -> None:
+        self.loop, self.every = loop, every
+        parts = urlsplit(address)
+        self._place = parts.hostname or "", parts.port or 80
+        self._base = f"{parts.path.rstrip('/')}/apps/{quote(app.upper())}"
+        self._name, self._client = name, HttpClient(loop, ClientLimits(connect_time=every))
+        self._known = False
+        self._body = msgspec.json.encode(
+            {
+                "instance": {
+                    "instanceId": name,
+                    "hostName": host,
+                    "ipAddr": host,
+                    "app": app.upper(),
+                    "status": "UP",
+                    "port": {"$": port, "@enabled": "true"},
+                    "dataCenterInfo": {
+                        "@class": "com.netflix.appinfo.InstanceInfo$DefaultDataCenterInfo",
+                        "name": "MyOwn",
+                    },
+                    "leaseInfo": {"renewalIntervalInSecs": max(1, every // SECOND), "durationInSecs": 90},
+                }
+            }
+        )
+
+    def start(self) -> None:
+        """Register, and renew from now on."""
+        if self._known:
+            self._call("PUT", f"{self._base}/{quote(self._name)}", b"")
+        else:
+            self._call("POST", self._base, self._body)
+        self.loop.call_at(self.loop.now() + self.every, self.start)
+
+    def cancel(self) -> None:
+        """Take the registration back."""
+        self._call("DELETE", f"{self._base}/{quote(self._name)}", b"")
+
+    def _call(self, method: str, target: str, body: bytes) -> None:
+        headers = [("Content-Type", "application/json")] if body else []
+        until = self.loop.now() + self.every
+
+        def done(reply: Reply | Fault) -> None:
+            self._known = isinstance(reply, Reply) and reply.status in (200, 204)
+
+        self._client.call(self._place, method, target, done, headers, body, until)
--- a/mintmast/sources/merged.py
+++ b/mintmast/sources/merged.py
@@ -3,44 +3,57 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 from mintmast.decisions.membership import Merger
 from mintmast.interface import ListEntry, ListKind
 from mintmast.loop import Loop, Timer
+from mintmast.sources.eureka import EurekaSource
 from mintmast.sources.files import WatchedFile
 from mintmast.sources.fixed import SavedList, Tell
 
 
 class MergedList:
-    """A watched file, with the saved copy of the last list for a start without it."""
+    """A watched file, a registry, or both; the saved copy of the last list for a start without them."""
 
     def __init__(
         self,
         loop: Loop,
-        path: Path,
-        every: int,
+        told: dict[str, Any],
         fleet: dict[str, Any],
+        seed: int,
         saved: SavedList | None,
         say: Callable[..., None],
     ) -> None:
         self.loop, self.saved, self.say = loop, saved, say
-        self.merger = Merger(("file",))
+        names = tuple(name for name in ("file", "registry") if name in told)
+        self.merger = Merger(names)
         self.version = 0
         self._tell: Tell | None = None
         self._timer: Timer | None = None
-        self._file = WatchedFile(loop, path, every, fleet, self._good, self._bad)
+        every = told["every_ms"] * 1000
+        self._sources: list[WatchedFile | EurekaSource] = []
+        if "file" in told:
+            good, bad = partial(self._good, "file"), partial(self._bad, "file")
+            self._sources.append(WatchedFile(loop, Path(told["file"]), every, fleet, good, bad))
+        if "registry" in told:
+            good, bad = partial(self._good, "registry"), partial(self._bad, "registry")
+            registry = told["registry"]
+            addresses = tuple(registry["addresses"])
+            self._sources.append(EurekaSource(loop, addresses, registry["app"], every, seed, good, bad, say))
 
     def start(self, tell: Tell) -> None:
-        """Begin: the saved list first, then the file."""
+        """Begin: the saved list first, then the sources."""
         self._tell = tell
         cached = self.saved.load() if self.saved is not None else None
         if cached:
             self.version += 1
             self.merger.believed = {entry.server: entry for entry in cached}
             tell(ListKind.CACHED, self.version, cached)
-        self._file.start()
+        for source in self._sources:
+            source.start()
 
     def refresh(self) -> None:
         """Tell the whole list as it is believed."""
@@ -60,12 +73,13 @@
             for name, source in self.merger.sources.items()
         }
 
-    def _good(self, entries: tuple[ListEntry, ...]) -> None:
-        self._changed(self.merger.offer(self.loop.now(), "file", entries))
+    def _good(self, name: str, entries: tuple[ListEntry, ...]) -> None:
+        self._changed(self.merger.offer(self.loop.now(), name, entries))
 
-    def _bad(self, fault: str) -> None:
-        self.say("list_not_taken", source="file", reason=fault)
-        self._changed(self.merger.failed(self.loop.now(), "file", fault))
+    def _bad(self, name: str, fault: str) -> None:
+        if self.merger.sources[name].fault != fault:
+            self.say("list_not_taken", source=name, reason=fault)
+        self._changed(self.merger.failed(self.loop.now(), name, fault))
 
     def refuses(self, server: bytes, refuses: bool) -> None:
         """Take a host's own evidence; in a turn of its own, as it comes from the midst of another."""
