--- a/mintmast/cli/__init__.py
+++ b/mintmast/cli/__init__.py
@@ -15,6 +15,18 @@
     sys.exit(2)
 
 
+ADMIN = [
+    click.option("--admin", required=True, help="Administrative address of the gateway, HOST:PORT."),
+    click.option("--token", envvar="MINTMAST_ADMIN_TOKEN", default="", help="Operators' token."),
+]
+
+
+def _administrative(command: Any) -> Any:
+    for option in reversed(ADMIN):
+        command = option(command)
+    return command
+
+
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(package_name="mintmast")
 def main() -> None:
@@ -154,6 +166,15 @@
     sys.exit(check(file, settings))
 
 
+@sources.command("state")
+@_administrative
+def sources_state(admin: str, token: str) -> None:
+    """Tell of each source of a running gateway: servers, age, what is wrong, what is held back."""
+    from mintmast.cli.operate import operate
+
+    sys.exit(operate(admin, token, "GET", "/v1/sources", None))
+
+
 @sources.command("schema")
 def sources_schema() -> None:
     """Print the JSON Schema of a file of servers."""
@@ -162,18 +183,6 @@
     click.echo(json.dumps(SERVERS, indent=2))
 
 
-ADMIN = [
-    click.option("--admin", required=True, help="Administrative address of the gateway, HOST:PORT."),
-    click.option("--token", envvar="MINTMAST_ADMIN_TOKEN", default="", help="Operators' token."),
-]
-
-
-def _administrative(command: Any) -> Any:
-    for option in reversed(ADMIN):
-        command = option(command)
-    return command
-
-
 @main.command("drain")
 @click.argument("host")
 @click.option("--within", type=float, help="Seconds in which it is to be empty; what ends before that stays.")
--- a/mintmast/cli/operate.py
+++ b/mintmast/cli/operate.py
@@ -38,6 +38,16 @@
         print(f"mintmast: {reply.status} {reply.body.decode('utf-8', 'replace')}", file=sys.stderr)
         return 1
     told = json.loads(reply.body)
+    if path == "/v1/sources":
+        for name, about in told.items():
+            age = "never" if about["age_s"] is None else f"{about['age_s']:.0f} s ago"
+            held = "" if about["held_back"] is None else f"; a version of {about['held_back']} is held back"
+            print(
+                f"{name}: {about['servers']} servers, well {age}{held}{about['fault'] and '; ' + about['fault']}"
+            )
+        if not told:
+            print("the list is that of the settings")
+        return 0
     for name, about in told["draining"].items():
         print(f"{name}: {about['sessions']} sessions, {len(about['moving'])} moving")
         for session, stage in about["moving"].items():
--- a/mintmast/config/schema.py
+++ b/mintmast/config/schema.py
@@ -102,7 +102,7 @@
     "$schema": "https://json-schema.org/draft/2020-12/schema",
     "title": "mintmast gateway",
     **_obj(
-        "classes ladder fleet titles servers tokens",
+        "classes ladder fleet titles tokens",
         gateway=_text("name of this gateway, used in session ids", "gateway", NAME),
         instance=_int(0, 10**6, "number of this gateway among all, from 0", 0),
         instances=_int(1, 10**6, "how many gateways there are", 1),
--- a/mintmast/sources/files.py
+++ b/mintmast/sources/files.py
@@ -12,12 +12,13 @@
 import json
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any, Literal
 
+import msgspec
 from jsonschema import Draft202012Validator
 
-from mintmast.config.load import ConfigError, error_line, filled
-from mintmast.config.schema import SERVERS
+from mintmast.config.load import ConfigError, error_line
+from mintmast.config.schema import ADDRESS, SERVERS
 from mintmast.interface import ListEntry, ServerState
 from mintmast.loop import Loop
 
@@ -27,38 +28,65 @@
 MOST_BYTES = 64 << 20
 
 
+Small = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
+
+
+class Server(msgspec.Struct, forbid_unknown_fields=True, gc=False):
+    """A row of the file; the same bounds as the schema's, checked on the way in at a fortieth of the time."""
+
+    address: Annotated[str, msgspec.Meta(pattern=ADDRESS, max_length=4096)]
+    cell: Small
+    zone: Small = 0
+    kind: Small = 0
+    weight: Annotated[float, msgspec.Meta(ge=1e-3, le=1e6)] = 1.0
+    state: Literal["ready", "draining", "gone"] = "ready"
+    started: Annotated[float, msgspec.Meta(ge=0, le=1e12)] = 0.0
+
+
+class Servers(msgspec.Struct, forbid_unknown_fields=True):
+    """The file."""
+
+    servers: Annotated[list[Server], msgspec.Meta(max_length=100_000)]
+
+
+def _rows(data: bytes) -> list[Server]:
+    try:
+        return msgspec.json.decode(data, type=Servers).servers
+    except msgspec.DecodeError as error:
+        raw = json.loads(data)  # a ValueError where it is no JSON
+        # the schema tells all errors at once, each with its place
+        errors = [error_line(each) for each in Draft202012Validator(SERVERS).iter_errors(raw)]
+        raise ConfigError(sorted(errors) or [str(error)]) from None
+
+
 def read_servers(data: bytes, fleet: dict[str, Any], now: int, wall: float) -> tuple[ListEntry, ...]:
     """Give the entries of a file's text. Raises ConfigError with all errors, ValueError for no JSON."""
-    raw = json.loads(data)
-    errors = [error_line(error) for error in Draft202012Validator(SERVERS).iter_errors(raw)]
-    if errors:
-        raise ConfigError(sorted(errors))
-    rows = filled(SERVERS, raw)["servers"]
+    rows, errors = _rows(data), []
     seen: dict[str, int] = {}
     for place, row in enumerate(rows):
-        address = row["address"]
+        address = row.address
         if address in seen:
             errors.append(f"servers/{place}/address: {address} stands at servers/{seen[address]} already")
         seen[address] = place
         if int(address.rpartition(":")[2]) > 65_535:
             errors.append(f"servers/{place}/address: {address} has no such port")
-        if fleet["cells"] and row["cell"] >= fleet["cells"]:
-            errors.append(f"servers/{place}/cell: {row['cell']} is not under fleet.cells, {fleet['cells']}")
-        if row["kind"] >= len(fleet["kinds"]):
-            errors.append(f"servers/{place}/kind: {row['kind']} is not a place in fleet.kinds")
-    if not any(row["state"] == "ready" for row in rows):
+        if fleet["cells"] and row.cell >= fleet["cells"]:
+            errors.append(f"servers/{place}/cell: {row.cell} is not under fleet.cells, {fleet['cells']}")
+        if row.kind >= len(fleet["kinds"]):
+            errors.append(f"servers/{place}/kind: {row.kind} is not a place in fleet.kinds")
+    if not any(row.state == "ready" for row in rows):
         errors.append(f"servers: none of {len(rows)} is ready")
     if errors:
         raise ConfigError(errors)
     return tuple(
         ListEntry(
-            row["address"].encode(),
-            ServerState[row["state"].upper()],
-            max(1, now - int((wall - row["started"]) * 1e6)) if row["started"] else 0,
-            row["cell"],
-            row["zone"],
-            row["kind"],
-            row["weight"],
+            row.address.encode(),
+            ServerState[row.state.upper()],
+            max(1, now - int((wall - row.started) * 1e6)) if row.started else 0,
+            row.cell,
+            row.zone,
+            row.kind,
+            row.weight,
         )
         for row in rows
     )
