Long lists are handed to the module in slices, lines to new hosts opened a few at a time

A list of 10,000 new hosts meant 10,000 connections and one event of 118 ms in a turn. What must stop is told at once, what may start in slices of 500, as believed by then.

--- a/mintmast/cli/operate.py
+++ b/mintmast/cli/operate.py
@@ -42,9 +42,8 @@
         for name, about in told.items():
             age = "never" if about["age_s"] is None else f"{about['age_s']:.0f} s ago"
             held = "" if about["held_back"] is None else f"; a version of {about['held_back']} is held back"
-            print(
-                f"{name}: {about['servers']} servers, well {age}{held}{about['fault'] and '; ' + about['fault']}"
-            )
+            fault = about["fault"] and "; " + about["fault"]
+            print(f"{name}: {about['servers']} servers, well {age}{held}{fault}")
         if not told:
             print("the list is that of the settings")
         return 0
--- a/mintmast/decisions/book.py
+++ b/mintmast/decisions/book.py
@@ -34,6 +34,9 @@
 END_AGAIN = SECOND // 2
 # µs for one try: a host that cannot say yes in this time is asked again
 END_TIME = 2 * SECOND
+# of a long list, entries that the module gets in a turn, lines opened in a turn, and µs between two such
+# turns: a list of 10,000 is through in half a second, and viewers are answered meanwhile
+ENTRIES_AT_ONCE, WATCHED_AT_ONCE, SLICE_EVERY = 500, 50, 2_000
 # sessions in one renewal: some 20 kB, well under what a host takes as a body, and no long turn for either
 # side
 RENEWED_AT_ONCE = 200
@@ -382,6 +385,8 @@
         self._calls = 0  # calls that give leases are numbered, so that a host can pass over old ones
         self._number = self._version = 0
         self._watched: set[bytes] = set()
+        self._to_watch: deque[bytes] = deque()
+        self._to_tell: deque[bytes] = deque()
         self._out: list[Command] = []
         self.planner = MovePlanner(settings)
         self.counts = {"moved": 0, "lost": 0, "stayed": 0, "over": 0}
@@ -770,6 +775,10 @@
                     self._give(ask, session, Verdict.FAILED, reason="time is up")
                     if not session.waiting and session.out:
                         self._feed(now, api.ViewerGone(session.number))
+            case ("watches",):
+                self._watch_some(now)
+            case ("entries",):
+                self._tell_some(now)
             case ("renew", server):
                 self._renew(now, server)
             case ("move", number, signal):
@@ -857,9 +866,36 @@
                 self._out.append(Unwatch(server))
             elif not gone and server not in self._watched:
                 self._watched.add(server)
+                self._to_watch.append(server)
+        self._watch_some(now)
+
+    def _watch_some(self, now: int) -> None:
+        """Open lines to new hosts, a few in a turn: thousands of connections at once would stop the loop."""
+        for _ in range(min(WATCHED_AT_ONCE, len(self._to_watch))):
+            server = self._to_watch.popleft()
+            if server in self._watched:
                 self._out.append(Watch(server))
+        if self._to_watch:
+            self._out.append(Wake(now + SLICE_EVERY, ("watches",)))
 
     def _entries(self, now: int, changed: list[api.ListEntry]) -> None:
+        """Hand entries to the module: what must stop at once, what may start in slices."""
+        ready = [entry for entry in changed if entry.state is api.ServerState.READY]
+        if len(ready) > ENTRIES_AT_ONCE:
+            self._to_tell.extend(entry.server for entry in ready[ENTRIES_AT_ONCE:])
+            later = {entry.server for entry in ready[ENTRIES_AT_ONCE:]}
+            changed = [entry for entry in changed if entry.server not in later]
+            self._out.append(Wake(now + SLICE_EVERY, ("entries",)))
+        self._tell_entries(now, changed)
+
+    def _tell_some(self, now: int) -> None:
+        """Hand over the next slice, each entry as it is believed by now."""
+        some = [self._to_tell.popleft() for _ in range(min(ENTRIES_AT_ONCE, len(self._to_tell)))]
+        self._tell_entries(now, [self.watch.entry(self.watch.hosts[server]) for server in some])
+        if self._to_tell:
+            self._out.append(Wake(now + SLICE_EVERY, ("entries",)))
+
+    def _tell_entries(self, now: int, changed: list[api.ListEntry]) -> None:
         if not changed:
             return
         self._version += 1
--- a/tests/test_book.py
+++ b/tests/test_book.py
@@ -1,6 +1,7 @@
 """The session book alone: rows of the outcome table, hard cases, and random days without a network."""
 
 import random
+from dataclasses import replace
 
 import pytest
 from helpers import S, box, settings
@@ -148,6 +149,23 @@
     assert now >= T0 + (renewals + 3) * LEASE // 3
 
 
+def test_a_long_list_is_handed_over_in_slices_and_a_drain_meanwhile_is_not_undone():
+    controller = Controller(settings(), 1)
+    book = b.SessionBook(controller.settings, controller.handle, LEASE)
+    book.start(T0)
+    entries = tuple(replace(box(0), server=b"host-%d:1" % n, cell=n % 4) for n in range(2000))
+    queue, watched, turns = book.take(T0, b.ListNews(api.ListKind.FULL, 1, entries)), 0, 0
+    book.take(T0, b.HostDrain(b"host-1999:1", True))
+    while wakes := [each for each in queue if isinstance(each, b.Wake)]:
+        watched += len(only(queue, b.Watch))
+        assert len(only(queue, b.Watch)) <= 2 * b.WATCHED_AT_ONCE
+        queue = [command for wake in wakes for command in book.take(wake.at, b.Due(wake.token))]
+        turns += 1
+    states = [controller.servers[entry.server].entry.state for entry in entries]
+    assert states.count(ServerState.READY) == 1999 and states[1999] is ServerState.DRAINING
+    assert watched + len(only(queue, b.Watch)) == 2000 and turns > 5
+
+
 def test_many_sessions_at_a_host_are_renewed_in_calls_that_a_host_takes():
     book = new_book(servers=1, kind_streams=(5000,), weight_kb=1e9, links_kb=1e9, uplink_kb=0.0)
     for number in range(1, 951):
