Each loopback drill has an address of its own; kept records hold the gateways' logs

With twenty drills at once a port given back for a moment, while its host was dead, was taken by another drill's gateway: viewers of one drill were served by the hosts of the other, and a paid key was counted as run twice. Drills now use an address of 127.0.0.0/8 by their process.

--- a/mintmast/lab/drills.py
+++ b/mintmast/lab/drills.py
@@ -482,6 +482,8 @@
         if keep is not None:
             lines = "".join(json.dumps(row) + "\n" for row in stage.rows)
             Path(keep, f"{name}-{net}-{seed}.jsonl").write_text(lines, encoding="utf-8")
+            for log in Path(stage.folder.name).glob("*.log"):  # the gateways' own, to find a cause by
+                Path(keep, f"{name}-{net}-{seed}-{log.name}").write_bytes(log.read_bytes())
         found = audit(stage.rows, terms(stage, conf))
         viewers.measures.update(moves(stage.rows, found))
         viewers.measures.update(_emptied(stage.rows))
--- a/mintmast/lab/stage.py
+++ b/mintmast/lab/stage.py
@@ -252,6 +252,10 @@
         self.loop = SelectorLoop(lambda text: self.record("error", text=text))
         super().__init__(seed, settings, model, mutate)
         self.client = HttpClient(self.loop, ClientLimits(connect_time=1_000_000))
+        # an address of its own for each drill at work: a port that one has given back for a moment, while its
+        # host is dead, must not be taken by another's gateway, which would then serve the wrong viewers
+        pid = os.getpid()
+        self.address = f"127.{1 + pid % 254}.{pid // 254 % 256}.1"
         self._ports: dict[str, int] = {}
         self._processes: dict[int, subprocess.Popen] = {}
 
@@ -266,22 +270,22 @@
     def _port(self, name: str) -> int:
         if name not in self._ports:
             with socket.socket() as probe:
-                probe.bind(("127.0.0.1", 0))
+                probe.bind((self.address, 0))
                 self._ports[name] = probe.getsockname()[1]
         return self._ports[name]
 
     def place(self, name: str, port: int) -> tuple[Any, str, int]:
         """Give the one loop and a port kept over restarts."""
-        return self.loop, "127.0.0.1", self._port(name)
+        return self.loop, self.address, self._port(name)
 
     def place_name(self, number: int) -> str:
-        """Give loopback."""
-        return "127.0.0.1"
+        """Give the drill's address."""
+        return self.address
 
     def start_gateway(self, number: int) -> None:
         """Start a gateway's process."""
         folder = Path(self.folder.name)
-        listen = {"host": "127.0.0.1", "port": self._port(f"gw{number}")}
+        listen = {"host": self.address, "port": self._port(f"gw{number}")}
         saved, log = str(folder / f"gw{number}.list"), str(folder / f"gw{number}.log")
         settings = self.gateway_settings(number, listen=listen, saved_list=saved, telemetry={"log": log})
         path = folder / f"gw{number}.json"
@@ -298,7 +302,7 @@
         for number in self._processes:
             while True:
                 try:
-                    socket.create_connection(("127.0.0.1", self._port(f"gw{number}")), 0.2).close()
+                    socket.create_connection((self.address, self._port(f"gw{number}")), 0.2).close()
                     break
                 except OSError:
                     if self.now() > until:
@@ -313,7 +317,7 @@
 
     def gateway_url(self, number: int) -> str:
         """Give where a gateway serves."""
-        return f"http://127.0.0.1:{self._port(f'gw{number}')}"
+        return f"http://{self.address}:{self._port(f'gw{number}')}"
 
     def at(self, seconds: float, do: Callable[..., Any], *args: Any) -> None:
         """Call at a time after the stage's begin."""
