One check of servers, one session token, one renewal; counters and steps that nobody used are gone

Need: a second reading found the sense checks of servers written for the settings and again for watched files, the session token signed in two places, renewals built in three, counters beside the metrics that nothing read, a method of the fixed list without a caller, and two steps of a drill that did nothing. Each logic now stands once.

One message reads differently: a server's address that stands twice now names the first place in the settings too.

--- a/mintmast/config/load.py
+++ b/mintmast/config/load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -131,7 +132,7 @@
     return value
 
 
-def _sense(raw: dict[str, Any]):
+def _sense(raw: dict[str, Any]) -> Iterator[str]:
     """Yield what the schema cannot say."""
     rungs = [each["kb"] for each in raw["ladder"]]
     if rungs != sorted(rungs):
@@ -145,18 +146,8 @@
             yield f"classes/{place}/floor: {each['floor']} is not a rung from 0 to the class's top"
         if each["deadline_ms"] <= raw["limits"]["answer_margin_ms"]:
             yield f"classes/{place}/deadline_ms: {each['deadline_ms']} is not over the answer margin"
-    seen: set[str] = set()
-    cells = raw["fleet"]["cells"]
-    for place, each in enumerate(raw["servers"]):
-        if each["address"] in seen:
-            yield f"servers/{place}/address: {each['address']} stands twice"
-        seen.add(each["address"])
-        if int(each["address"].rpartition(":")[2]) > 65_535:
-            yield f"servers/{place}/address: {each['address']} has no such port"
-        if cells and each["cell"] >= cells:
-            yield f"servers/{place}/cell: {each['cell']} is not under fleet.cells, {cells}"
-        if each["kind"] >= len(raw["fleet"]["kinds"]):
-            yield f"servers/{place}/kind: {each['kind']} is not a place in fleet.kinds"
+    rows = ((each["address"], each["cell"], each["kind"]) for each in raw["servers"])
+    yield from server_faults(rows, raw["fleet"])
     if "list" in raw:
         every, grace = raw["list"]["every_ms"], raw["rules"]["drain_grace_ms"]
         if raw["servers"]:
@@ -171,6 +162,22 @@
             yield f"tokens/{part}: two keys of one kid"
 
 
+def server_faults(rows: Iterable[tuple[str, int, int]], fleet: dict[str, Any]) -> Iterator[str]:
+    """Yield what is wrong with (address, cell, kind) of servers, in the settings or in a watched file."""
+    seen: dict[str, int] = {}
+    cells, kinds = fleet["cells"], len(fleet["kinds"])
+    for place, (address, cell, kind) in enumerate(rows):
+        if address in seen:
+            yield f"servers/{place}/address: {address} stands twice, it stands at servers/{seen[address]}"
+        seen[address] = place
+        if int(address.rpartition(":")[2]) > 65_535:
+            yield f"servers/{place}/address: {address} has no such port"
+        if cells and cell >= cells:
+            yield f"servers/{place}/cell: {cell} is not under fleet.cells, {cells}"
+        if kind >= kinds:
+            yield f"servers/{place}/kind: {kind} is not a place in fleet.kinds"
+
+
 def _entry(each: dict[str, Any]) -> api.ListEntry:
     return api.ListEntry(
         each["address"].encode(),
--- a/mintmast/core/service.py
+++ b/mintmast/core/service.py
@@ -30,7 +30,7 @@
 class Core:
     """One gateway's sessions. `decide` is the module's `handle`; `title_of` names a title's number.
 
-    `say(event, **fields)` takes log lines; `stats` counts what the metrics show.
+    `say(event, **fields)` takes log lines.
     """
 
     def __init__(
@@ -56,14 +56,6 @@
         self._asked: dict[int, _Asked] = {}
         self._polls: dict[int, SteerTo] = {}
         self._count = 0
-        self.stats: dict[str, int] = {
-            "asked": 0,
-            "plays": 0,
-            "refused": 0,
-            "failed": 0,
-            "gone": 0,
-            "set_ups": 0,
-        }
         self._carry: dict[type, Callable] = {
             book.SendSetUp: self._set_up,
             book.CallOff: lambda c: hosts.call_off(self.name(c.session), c.attempt),
@@ -100,7 +92,6 @@
     def ask(self, ask: book.Ask, answer: AnswerTo) -> int:
         """Take a viewer's ask, whose number is filled in and given back; `answer` is called once."""
         self._count += 1
-        self.stats["asked"] += 1
         number = self._count
         self._asked[number] = _Asked(answer, self.loop.now())
         self._take(msgspec.structs.replace(ask, ask=number))
@@ -109,7 +100,6 @@
     def gone(self, ask: int) -> None:
         """Take note that nobody waits for the answer any more."""
         if self._asked.pop(ask, None) is not None:
-            self.stats["gone"] += 1
             self._take(book.AskGone(ask))
 
     def poll(self, session: str, buffer: int, budget: int, answer: SteerTo) -> int:
@@ -179,7 +169,6 @@
     def _set_up(self, command: book.SendSetUp) -> None:
         ask = command.ask
         service = self.settings.classes[ask.service]
-        self.stats["set_ups"] += 1
         asked = self._asked.get(ask.ask)
         if asked is not None:
             asked.attempts += 1
@@ -257,7 +246,6 @@
         asked = self._asked.pop(command.ask, None)
         if asked is None:
             return
-        self.stats[command.verdict.value] += 1
         self.say(
             "request",
             ask=command.ask,
--- a/mintmast/decisions/book.py
+++ b/mintmast/decisions/book.py
@@ -817,11 +817,16 @@
         ]
         for first in range(0, len(held), RENEWED_AT_ONCE):
             some = held[first : first + RENEWED_AT_ONCE]
-            number, clock = self._lease_call(now, server, some)
-            sessions = tuple((each.number, each.epoch, each.rung) for each in some)
-            self._out.append(SendRenew(server, sessions, now + every, number, clock, self._lease))
+            self._send_renew(now, server, some, now + every, self._lease)
         self._out.append(Wake(now + every, ("renew", server)))
 
+    def _send_renew(self, now: int, server: bytes, sessions: list[_Session], until: int, lease: int) -> int:
+        """Renew these sessions' leases at a host for `lease`; give the call's number."""
+        number, clock = self._lease_call(now, server, sessions, lease)
+        told = tuple((each.number, each.epoch, each.rung) for each in sessions)
+        self._out.append(SendRenew(server, told, until, number, clock, lease))
+        return number
+
     # Hosts and lists
 
     def _session_ended(self, now: int, event: SessionEnded) -> None:
@@ -1021,10 +1026,8 @@
         old, server = move.old, move.old.server or b""
         match act:
             case Act.SHORTEN:
-                move.call, clock = self._lease_call(now, server, [old], moves.SHORT_LEASE)
-                sessions = ((old.number, old.epoch, old.rung),)
                 until = now + moves.PREPARE_TIME
-                self._out.append(SendRenew(server, sessions, until, move.call, clock, moves.SHORT_LEASE))
+                move.call = self._send_renew(now, server, [old], until, moves.SHORT_LEASE)
                 self._out.append(Wake(until, ("move", old.number, Signal.NOT_SHORT)))
             case Act.PLACE:
                 return self._place(now, move)
@@ -1074,10 +1077,7 @@
     def _restore(self, now: int, session: _Session) -> None:
         """Give a session that stays its usual lease again."""
         if session.server is not None and session.number in self._at.get(session.server, {}):
-            number, clock = self._lease_call(now, session.server, [session])
-            told = ((session.number, session.epoch, session.rung),)
-            until = now + renew_every(self._lease)
-            self._out.append(SendRenew(session.server, told, until, number, clock, self._lease))
+            self._send_renew(now, session.server, [session], now + renew_every(self._lease), self._lease)
 
     def _place(self, now: int, move: _Move) -> Signal:
         """Ask the module for a place; nothing is sent yet."""
--- a/mintmast/fronts/dash/front.py
+++ b/mintmast/fronts/dash/front.py
@@ -168,9 +168,7 @@
             return
         host, first = answer.server.decode(), str(claims["hst"])
         top = min(answer.best_rung, self.config.settings.classes[answer.service].top)
-        until = self.loop.wall() + title.seconds + self.config["tokens"]["session_s"]
-        name = self.core.name(answer.session)
-        token = self.sessions.sign(name, title.name, host, top, answer.epoch, until)
+        token = self._token(title, top, answer)
         manifest: dict[str, Any] = {
             "VERSION": 1,
             "TTL": self.config["steering"]["ttl_s"],
@@ -191,15 +189,18 @@
             200, [("Content-Type", "application/json"), _NO_STORE], msgspec.json.encode(manifest)
         )
 
+    def _token(self, title: Title, top: int, answer: Give | Steer) -> str:
+        until = self.loop.wall() + title.seconds + self.config["tokens"]["session_s"]
+        name, host = self.core.name(answer.session), answer.server.decode()
+        return self.sessions.sign(name, title.name, host, top, answer.epoch, until)
+
     def _playing(
         self, title: Title, service: int, best: int, give: Give
     ) -> tuple[int, list[tuple[str, str]], bytes]:
         settings = self.config.settings
         kind = settings.classes[service]
         top = min(best, kind.top)
-        until = self.loop.wall() + title.seconds + self.config["tokens"]["session_s"]
-        host, name = give.server.decode(), self.core.name(give.session)
-        token = self.sessions.sign(name, title.name, host, top, give.epoch, until)
+        host, token = give.server.decode(), self._token(title, top, give)
         shape = Shape(
             title.seconds,
             title.segment_s,
--- a/mintmast/lab/drills.py
+++ b/mintmast/lab/drills.py
@@ -253,8 +253,6 @@
 
     # answers lost or cut on the way back, all over the fleet, for a while
     begin = draw.uniform(1, load / 3)
-    for number in range(day.hosts):
-        stage.at(begin, on, number)
     for number in (loses, dies, errs):
         stage.at(begin, lambda n=number: on(n, lose_answers=0.25, cut_answers=0.25))
         stage.at(begin + 5, lambda n=number: on(n, lose_answers=0.0, cut_answers=0.0))
@@ -474,7 +472,6 @@
         for number in range(day.gateways):
             stage.start_gateway(number)
         stage.begin()
-        stage.at(0.3, lambda: None)
         viewers = Viewers(stage, day, seed)
         DRILLS[name](stage, day, seed)
         stage.run(day.whole_s)
--- a/mintmast/sources/files.py
+++ b/mintmast/sources/files.py
@@ -17,7 +17,7 @@
 import msgspec
 from jsonschema import Draft202012Validator
 
-from mintmast.config.load import ConfigError, error_line
+from mintmast.config.load import ConfigError, error_line, server_faults
 from mintmast.config.schema import ADDRESS, SERVERS
 from mintmast.interface import ListEntry, ServerState
 from mintmast.loop import Loop
@@ -61,19 +61,8 @@
 
 def read_servers(data: bytes, fleet: dict[str, Any], now: int, wall: float) -> tuple[ListEntry, ...]:
     """Give the entries of a file's text. Raises ConfigError with all errors, ValueError for no JSON."""
-    rows, errors = _rows(data), []
-    seen: dict[str, int] = {}
-    for place, row in enumerate(rows):
-        address = row.address
-        if address in seen:
-            errors.append(f"servers/{place}/address: {address} stands at servers/{seen[address]} already")
-        seen[address] = place
-        if int(address.rpartition(":")[2]) > 65_535:
-            errors.append(f"servers/{place}/address: {address} has no such port")
-        if fleet["cells"] and row.cell >= fleet["cells"]:
-            errors.append(f"servers/{place}/cell: {row.cell} is not under fleet.cells, {fleet['cells']}")
-        if row.kind >= len(fleet["kinds"]):
-            errors.append(f"servers/{place}/kind: {row.kind} is not a place in fleet.kinds")
+    rows = _rows(data)
+    errors = list(server_faults(((row.address, row.cell, row.kind) for row in rows), fleet))
     if not any(row.state == "ready" for row in rows):
         errors.append(f"servers: none of {len(rows)} is ready")
     if errors:
--- a/mintmast/sources/fixed.py
+++ b/mintmast/sources/fixed.py
@@ -12,7 +12,7 @@
 
 
 class FixedList:
-    """A list that is told once; `change` tells later versions, as sources of other kinds will."""
+    """A list that is told once, and again when asked."""
 
     def __init__(self, entries: tuple[ListEntry, ...], saved: SavedList | None = None) -> None:
         self.entries, self.saved, self.version = entries, saved, 1
@@ -36,12 +36,6 @@
     def refuses(self, server: bytes, refuses: bool) -> None:
         """Nothing: the settings are not in doubt."""
 
-    def change(self, entries: tuple[ListEntry, ...]) -> None:
-        """Put a new version in place."""
-        self.version += 1
-        self.entries = entries
-        self.refresh()
-
 
 class SavedList:
     """The last list in a file, written whole or not at all. Errors are told, not raised."""
