--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -31,8 +31,7 @@
 from mintmast.http.server import Exchange, HttpServer, ServerLimits
 from mintmast.lab.drills import FREE, Day, settings
 from mintmast.lab.stage import ACCESS, SESSION, Stage
-from mintmast.loop.real import SelectorLoop
-from mintmast.process import settle_memory
+from mintmast.loop.real import SelectorLoop, settle_memory
 
 SECOND = 1_000_000
 WIDE = ServerLimits(connections=100_000, idle_time=600 * SECOND)
--- a/mintmast/decisions/outcomes.py
+++ b/mintmast/decisions/outcomes.py
@@ -17,6 +17,7 @@
 
     STARTED = "started"  # the host said that the session runs
     FULL = "full"  # the host said that it did not run it: no room, or draining
+    MOOT = "moot"  # the host said that it never left: its time was over before it was sent on
     FENCED = "fenced"  # the host said that it did not run it: the epoch had been ended before it came
     HOST_ERROR = "host error"  # a whole reply with any other status
     BAD_REPLY = "bad reply"  # a reply that is not in the protocol
@@ -43,6 +44,7 @@
 TABLE: dict[Evidence, Row] = {
     Evidence.STARTED: Row(None, False, "the host runs it"),
     Evidence.FULL: Row(Outcome.FULL, True, "the host marks the reply: it looked and did not start"),
+    Evidence.MOOT: Row(Outcome.NOT_SENT, True, "the host says that nothing was sent on"),
     Evidence.FENCED: Row(Outcome.FULL, True, "the host keeps the ended epoch and marks the reply"),
     Evidence.HOST_ERROR: Row(
         Outcome.ERROR, False, "a reply without the mark does not tell what ran before it"
--- a/mintmast/gateway.py
+++ b/mintmast/gateway.py
@@ -22,7 +22,7 @@
 from mintmast.sources.eureka import Registration
 from mintmast.sources.fixed import FixedList, SavedList
 from mintmast.sources.merged import MergedList
-from mintmast.telemetry import Metrics, Traces
+from mintmast.telemetry.metrics import Metrics, Traces
 
 # µs between renewals in the registry: Eureka's own default, a third of the time after which it forgets
 REGISTER_EVERY = 30_000_000
--- a/mintmast/hosts/media.py
+++ b/mintmast/hosts/media.py
@@ -12,8 +12,9 @@
 from mintmast.core.ports import HostEvents, Order
 from mintmast.decisions.messages import NOTHING, Told
 from mintmast.decisions.outcomes import Evidence, may_have_run
-from mintmast.hosts.protocol import CLOCK, LOAD, NEVER_RAN, EventReader, read_load
+from mintmast.hosts.protocol import CLOCK, LOAD, NEVER_RAN, read_load
 from mintmast.http.client import DEFAULT, Address, Call, ClientLimits, Fault, HttpClient, Reply
+from mintmast.http.events import EventReader
 from mintmast.http.server import Headers
 from mintmast.interface import NoteKind
 from mintmast.loop import Loop, Timer
--- a/mintmast/hosts/protocol.py
+++ b/mintmast/hosts/protocol.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -13,8 +12,6 @@
 LOAD = "endpoint-load-metrics"
 # reply field with a reading of the host's clock, in µs
 CLOCK = "Mintmast-Clock"
-# bytes of one event line; a longer one is from no host of ours
-MAX_LINE = 65_536
 
 
 def load_header(use: dict[str, float]) -> str:
@@ -49,44 +46,3 @@
 def event(kind: str, **fields: Any) -> bytes:
     """Give one server-sent event."""
     return b"event: %b\ndata: %b\n\n" % (kind.encode(), msgspec.json.encode(fields))
-
-
-class EventReader:
-    """Server-sent events from bytes (WHATWG HTML, 9.2.6): `event` and `data` fields, comments passed over."""
-
-    def __init__(self, take: Callable[[str, dict[str, Any]], None]) -> None:
-        self._take = take
-        self._rest = b""
-        self._kind, self._data = "", []
-
-    def feed(self, data: bytes) -> bool:
-        """Take bytes; False where they are no events and the line had better be closed."""
-        *lines, self._rest = (self._rest + data).split(b"\n")
-        if len(self._rest) > MAX_LINE:
-            return False
-        for raw in lines:
-            if len(raw) > MAX_LINE:
-                return False
-            line = raw.rstrip(b"\r").decode("utf-8", "replace")
-            if not line:
-                kind, text = self._kind, "\n".join(self._data)
-                self._kind, self._data = "", []
-                if not text:
-                    continue
-                try:
-                    fields = msgspec.json.decode(text)
-                except (msgspec.DecodeError, RecursionError):
-                    return False
-                if not isinstance(fields, dict):
-                    return False
-                self._take(kind or "message", fields)
-                continue
-            name, _, value = line.partition(":")
-            value = value.removeprefix(" ")
-            if name == "event":
-                self._kind = value
-            elif name == "data":
-                self._data.append(value)
-                if sum(map(len, self._data)) > MAX_LINE:
-                    return False
-        return True
--- /dev/null
+++ b/mintmast/http/events.py
@@ -0,0 +1,64 @@
+"""Server-sent events from bytes (WHATWG HTML, 9.2.6)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+# bytes of one event; a longer one is from no sender of ours
+MOST = 65_536
+
+
+class EventReader:
+    """Reads `event`, `data` and `id` fields, passes comments over; `last_id` is that of the last event."""
+
+    def __init__(self, take: Callable[[str, dict[str, Any]], None], most: int = MOST) -> None:
+        self._take, self._most = take, most
+        self._rest = b""
+        self._kind, self._id = "", ""
+        self._data: list[str] = []
+        self._size = 0
+        self.last_id = ""
+
+    def feed(self, data: bytes) -> bool:
+        """Take bytes; False where they are no events and the line had better be closed."""
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        if len(self._rest) > self._most:
+            return False
+        for raw in lines:
+            if len(raw) > self._most:
+                return False
+            line = raw.rstrip(b"\r").decode("utf-8", "replace")
+            if not line:
+                if not self._dispatch():
+                    return False
+                continue
+            name, _, value = line.partition(":")
+            value = value.removeprefix(" ")
+            if name == "event":
+                self._kind = value
+            elif name == "id":
+                self._id = value
+            elif name == "data":
+                self._data.append(value)
+                self._size += len(value)
+                if self._size > self._most:
+                    return False
+        return True
+
+    def _dispatch(self) -> bool:
+        kind, text = self._kind, "\n".join(self._data)
+        self._kind, self._data, self._size = "", [], 0
+        if not text:
+            return True
+        self.last_id = self._id
+        try:
+            fields = msgspec.json.decode(text)
+        except (msgspec.DecodeError, RecursionError):
+            return False
+        if not isinstance(fields, dict):
+            return False
+        self._take(kind or "message", fields)
+        return True
--- a/mintmast/loop/real.py
+++ b/mintmast/loop/real.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import gc
 import selectors
 import signal
 import socket
@@ -17,6 +18,21 @@
 _IN_PROGRESS = {errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EAGAIN}
 # accepts of one listener in one turn: enough to empty a burst soon, few enough to let others run
 _ACCEPTS = 64
+# allocations between looks for garbage in rings: the youngest generation, then how many of each before the
+# next. The loop's objects are freed by their counts; a full look over a gateway's heap stops the loop for 50
+# to 100 ms
+GARBAGE = (20_000, 20, 1000)
+
+
+def settle_memory() -> None:
+    """Take what the program is made of out of the garbage collector's sight, and let it look seldom.
+
+    Danger: full collections stop the loop for all. May hurt where a library makes rings in quantity: memory
+    grows until the next look.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GARBAGE)
 
 
 class SelectorLoop:
@@ -34,7 +50,7 @@
         self.longest_turn = 0  # µs
         self.turns = 0
         self.on_turn: Callable[[int], None] | None = None
-        self._spare: socket.socket | None = None
+        self._wakeup: tuple[socket.socket, socket.socket] | None = None
 
     def now(self) -> int:
         """Give the microseconds of the monotonic clock."""
@@ -77,16 +93,17 @@
         """End `run` after this turn."""
         self._stopping = True
 
-    def stop_on_signals(self, *signals: signal.Signals) -> None:
-        """Stop when one of these signals comes."""
-        ours, theirs = socket.socketpair()
-        ours.setblocking(False)
-        theirs.setblocking(False)
-        self._wakeup = theirs, ours
-        signal.set_wakeup_fd(theirs.fileno())
-        self._selector.register(ours, selectors.EVENT_READ, lambda mask: ours.recv(64))
+    def on_signal(self, do: Callable[[], Any], *signals: signal.Signals) -> None:
+        """Call `do` in the loop's next turn when one of these signals comes."""
+        if self._wakeup is None:
+            ours, theirs = socket.socketpair()
+            ours.setblocking(False)
+            theirs.setblocking(False)
+            self._wakeup = theirs, ours
+            signal.set_wakeup_fd(theirs.fileno())
+            self._selector.register(ours, selectors.EVENT_READ, lambda mask: ours.recv(64))
         for each in signals:
-            signal.signal(each, lambda *_: self.stop())
+            signal.signal(each, lambda *_: self.call_soon(do))
 
     def run(self, until: int | None = None) -> None:
         """Turn until `stop`, or until the clock reads `until`."""
--- a/mintmast/process.py
+++ b/mintmast/process.py
@@ -2,31 +2,14 @@
 
 from __future__ import annotations
 
-import gc
 import signal
 import sys
 
 from mintmast.config import ConfigError, load
 from mintmast.fronts.tokens import TokenError
 from mintmast.gateway import Gateway
-from mintmast.loop.real import SelectorLoop
-from mintmast.telemetry import line_writer, open_log
-
-# allocations between looks for garbage in rings: the youngest generation, then how many of each before the
-# next. The loop's objects are freed by their counts; a full look over a gateway's heap stops the loop for 50
-# to 100 ms
-GARBAGE = (20_000, 20, 1000)
-
-
-def settle_memory() -> None:
-    """Take what the program is made of out of the garbage collector's sight, and let it look seldom.
-
-    Danger: full collections stop the loop for all. May hurt where a library makes rings in quantity: memory
-    grows until the next look.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GARBAGE)
+from mintmast.loop.real import SelectorLoop, settle_memory
+from mintmast.telemetry.lines import line_writer, open_log
 
 
 def serve(path: str, table: dict | None = None) -> int:
@@ -50,7 +33,7 @@
         print(f"mintmast: {error}", file=sys.stderr)
         return 2
     loop.on_turn = lambda took: gateway.metrics.turn_time.observe(took / 1e6)
-    loop.stop_on_signals(signal.SIGTERM, signal.SIGINT)
+    loop.on_signal(loop.stop, signal.SIGTERM, signal.SIGINT)
     settle_memory()
     loop.run()
     gateway.close()
--- /dev/null
+++ b/mintmast/signalling/hosts.py
@@ -0,0 +1,418 @@
+"""Connections to media hosts: pools by the host's id, set-ups with one truthful result, tests, cuts.
+
+A connection carries one set-up at a time, so that an answer that cannot be read takes no other with it.
+Before a set-up is written the connection is tested: on one that has silently died a paid set-up could not be
+proved unsent any more. Nothing here chooses a host or tries another.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Protocol
+
+from mintmast.decisions.outcomes import Evidence
+from mintmast.loop import Close, Handler, Limits, Loop, Stream, Timer
+from mintmast.signalling.messages import Cause, Kind, Message, Param, Reader, encode, release, test, tested
+
+Address = tuple[str, int]
+# µs between looks at connections
+LOOK = 250_000
+# µs without a word after which an idle connection is tested, and after which a test has failed: a machine
+# that is cut off says nothing, and what stood there must be released within 8 s
+QUIET, DEAF = 1_000_000, 1_500_000
+# µs after which an idle connection beyond the first is given back
+SPARE = 4_000_000
+# bytes that may wait for one host; sessions to be released at a host that cannot be reached just now
+LIMITS, MOST_CUTS = Limits(unsent=1 << 18, chunk=1 << 15), 1024
+_EVIDENCE = {
+    Cause.NO_CIRCUIT_AVAILABLE: Evidence.FULL,
+    Cause.RESOURCE_UNAVAILABLE: Evidence.HOST_ERROR,
+    Cause.TIMER_EXPIRED: Evidence.MOOT,
+}
+
+
+class HostEvents(Protocol):
+    """What is told of hosts."""
+
+    def started(self, host: bytes, call: bytes, description: bytes) -> None:
+        """Take an answer."""
+
+    def ended(self, host: bytes, call: bytes, evidence: Evidence, load: str) -> None:
+        """Take the end of an attempt without an answer."""
+
+    def over(self, host: bytes, call: bytes, cause: int, load: str) -> None:
+        """Take a release of what is no attempt that is out."""
+
+    def noted(self, host: bytes, call: bytes, name: str, figure: str) -> None:
+        """Take a note."""
+
+    def dead(self, host: bytes, when: int) -> None:
+        """Take it that the host's process was gone at `when`, and what stood there with it."""
+
+    def wanted(self, host: bytes) -> bool:
+        """Tell whether sessions stand at the host, so that a connection to it is to be kept."""
+
+
+@dataclass(slots=True)
+class HostLimits:
+    """Bounds, in microseconds and connections; all from the settings."""
+
+    connect_time: int
+    idle_time: int
+    connections: int
+
+
+@dataclass(slots=True)
+class _Attempt:
+    call: bytes
+    frame: bytes
+    connect_by: int
+    line: _Line | None = None
+    timers: tuple[Timer, ...] = ()
+    end: int | None = None  # what its connection will have handed over once it is whole; None: not written
+
+
+class MediaHosts:
+    """All pools. `events` hears what hosts say and what is seen of them, never before a call returns."""
+
+    def __init__(self, loop: Loop, events: HostEvents, limits: HostLimits) -> None:
+        self.loop, self.events, self.limits = loop, events, limits
+        self.pools: dict[bytes, _Pool] = {}
+        self.lines = 0
+        loop.call_at(loop.now() + LOOK, self._look)
+
+    def listed(self, host: bytes, address: Address, gone: bool) -> None:
+        """Take what the list says of a host."""
+        pool = self.pools.get(host)
+        if pool is None:
+            if gone:
+                return
+            pool = self.pools[host] = _Pool(self, host, address)
+        if pool.address != address:
+            pool.address = address
+            pool.close_idle()
+        pool.gone = gone
+
+    def set_up(self, host: bytes, call: bytes, frame: bytes, until: int) -> None:
+        """Send a set-up; one of `started` and `ended` follows."""
+        pool = self.pools.get(host)
+        if pool is None or pool.gone and not pool.lines:
+            self.loop.call_soon(self.events.ended, host, call, Evidence.NOT_CONNECTED, "")
+            return
+        now = self.loop.now()
+        attempt = _Attempt(call, frame, min(until, now + self.limits.connect_time))
+        attempt.timers = (
+            self.loop.call_at(until, pool.late, attempt),
+            self.loop.call_at(attempt.connect_by, pool.unconnected, attempt),
+        )
+        pool.out[call] = attempt
+        pool.assign(attempt)
+
+    def call_off(self, host: bytes, call: bytes) -> None:
+        """Give up a set-up; nothing more is told of it."""
+        pool = self.pools.get(host)
+        attempt = pool.out.get(call) if pool is not None else None
+        if pool is not None and attempt is not None:
+            pool.drop(attempt)
+
+    def cut(self, host: bytes, call: bytes) -> None:
+        """End a session, at once or with the next connection."""
+        pool = self.pools.get(host)
+        if pool is not None:
+            pool.cut(call)
+
+    def rung(self, host: bytes, call: bytes, rung: int) -> None:
+        """Tell a new rung, where a connection is open."""
+        pool = self.pools.get(host)
+        line = pool.any_open() if pool is not None else None
+        if line is not None:
+            line.write(encode(Kind.RUNG, call, [(Param.RUNG, b"%d" % rung)]))
+
+    def _look(self) -> None:
+        self.loop.call_at(self.loop.now() + LOOK, self._look)
+        for host, pool in list(self.pools.items()):
+            pool.look()
+            if pool.gone and not pool.lines and not pool.out and not self.events.wanted(host):
+                del self.pools[host]
+
+
+class _Pool:
+    """All connections to one host."""
+
+    def __init__(self, hosts: MediaHosts, host: bytes, address: Address) -> None:
+        self.hosts, self.host, self.address = hosts, host, address
+        self.gone = False
+        self.lines: list[_Line] = []
+        self.out: dict[bytes, _Attempt] = {}
+        self.cuts: deque[bytes] = deque(maxlen=MOST_CUTS)
+        self.misses = 0
+
+    # Set-ups
+
+    def assign(self, attempt: _Attempt) -> None:
+        """Put a set-up on an idle connection, the one last heard, or on a new one."""
+        idle = [line for line in self.lines if line.idle]
+        if idle:
+            max(idle, key=lambda line: line.heard).take(attempt)
+        elif self.gone or self.hosts.lines >= self.hosts.limits.connections:
+            self.finish(attempt, Evidence.NOT_CONNECTED)
+        else:
+            self.connect().take(attempt)
+
+    def connect(self) -> _Line:
+        line = _Line(self)
+        self.lines.append(line)
+        self.hosts.lines += 1
+        line.raw = self.hosts.loop.connect(*self.address, line, LIMITS)
+        return line
+
+    def unconnected(self, attempt: _Attempt) -> None:
+        """End an attempt that found no connection that works in the time for it, and that connection."""
+        line = attempt.line
+        if attempt.end is None:
+            self.finish(attempt, Evidence.NOT_CONNECTED)
+            if line is not None:
+                line.attempt = None
+                line.fail(Close.UNREACHABLE)
+
+    def late(self, attempt: _Attempt) -> None:
+        """Give up an attempt whose time has run out."""
+        sent = attempt.end is not None
+        self.drop(attempt)
+        self._tell(attempt, Evidence.SILENT if sent else Evidence.LATE_UNSENT)
+
+    def drop(self, attempt: _Attempt) -> None:
+        """Forget an attempt; the host hears that it is given up where it may have heard of it."""
+        line = attempt.line
+        self._forget(attempt)
+        if line is None:
+            return
+        if attempt.end is None:
+            line.attempt = None
+            return
+        # no answer came on this connection: nothing that stands on it can be trusted to come either
+        line.attempt = None
+        line.write(release(attempt.call, Cause.NORMAL_CLEARING))
+        line.close()
+        self.cut(attempt.call)
+
+    def finish(self, attempt: _Attempt, evidence: Evidence, load: str = "") -> None:
+        """Tell the end of an attempt."""
+        self._forget(attempt)
+        self._tell(attempt, evidence, load)
+
+    def _forget(self, attempt: _Attempt) -> None:
+        self.out.pop(attempt.call, None)
+        for timer in attempt.timers:
+            timer.cancel()
+
+    def _tell(self, attempt: _Attempt, evidence: Evidence, load: str = "") -> None:
+        self.hosts.loop.call_soon(self.hosts.events.ended, self.host, attempt.call, evidence, load)
+
+    # Cuts
+
+    def any_open(self) -> _Line | None:
+        """Give an open connection, the one last heard."""
+        lines = [line for line in self.lines if line.stream is not None and not line.over]
+        return max(lines, key=lambda line: line.heard) if lines else None
+
+    def cut(self, call: bytes) -> None:
+        line = self.any_open()
+        if line is not None:
+            line.write(release(call, Cause.NORMAL_CLEARING))
+        elif not self.gone:
+            self.cuts.append(call)
+
+    # Connections
+
+    def opened(self, line: _Line) -> None:
+        self.misses = 0
+        while self.cuts:
+            line.write(release(self.cuts.popleft(), Cause.NORMAL_CLEARING))
+
+    def ended(self, line: _Line, reason: Close) -> None:
+        """Take the end of a connection; without any left, and none to be had, the process is gone."""
+        if line in self.lines:
+            self.lines.remove(line)
+            self.hosts.lines -= 1
+        if any(each.stream is not None for each in self.lines):
+            return
+        if reason is Close.REFUSED or self.gone:
+            self._dead()
+        elif not line.was_open:
+            self.misses += 1
+            if self.misses >= 2:
+                self._dead()
+        if not self.gone and not self.lines and (self.cuts or self.hosts.events.wanted(self.host)):
+            self.connect()
+
+    def _dead(self) -> None:
+        self.cuts.clear()
+        self.hosts.loop.call_soon(self.hosts.events.dead, self.host, self.hosts.loop.now())
+
+    def close_idle(self) -> None:
+        """Give back what carries nothing now."""
+        for line in list(self.lines):
+            if line.idle:
+                line.close()
+
+    def look(self) -> None:
+        """Test quiet connections, end deaf ones, give back spare ones, keep one where sessions stand."""
+        now = self.hosts.loop.now()
+        wanted = bool(self.cuts) or self.hosts.events.wanted(self.host)
+        for line in list(self.lines):
+            line.look(now)
+        idle = sorted((line for line in self.lines if line.idle), key=lambda line: line.heard)
+        for line in idle[:-1]:
+            if now - line.used > SPARE:
+                line.close()
+        if not wanted and len(self.lines) == 1 and idle:
+            if self.gone or now - idle[-1].used > self.hosts.limits.idle_time // 2:
+                idle[-1].close()
+        if wanted and not self.lines:
+            if self.gone:
+                self._dead()
+            elif self.hosts.lines < self.hosts.limits.connections:
+                self.connect()
+
+
+class _Line(Handler):
+    """One connection to a host."""
+
+    def __init__(self, pool: _Pool) -> None:
+        self.pool = pool
+        self.raw: Stream | None = None
+        self.stream: Stream | None = None  # once it is connected
+        self.written = 0
+        self.attempt: _Attempt | None = None
+        self.was_open = self.over = False
+        now = pool.hosts.loop.now()
+        self.began = self.heard = self.used = now
+        self.tested: int | None = None  # when the test that is out was written
+        self._reader = Reader()
+        self._fault = False
+        self._reason: Close | None = None
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether it can take a set-up at once."""
+        return self.stream is not None and self.attempt is None and not self.over
+
+    def take(self, attempt: _Attempt) -> None:
+        """Carry a set-up, once a test has passed."""
+        self.attempt, attempt.line = attempt, self
+        self.used = self.pool.hosts.loop.now()
+        if self.stream is not None:
+            self._test()
+
+    def write(self, data: bytes) -> None:
+        """Write, where it is open."""
+        if self.stream is not None and not self.over:
+            self.written += len(data)
+            self.stream.write(data)
+
+    def _test(self) -> None:
+        if self.tested is None:
+            self.tested = self.pool.hosts.loop.now()
+            self.write(test(bytes(8)))
+
+    def look(self, now: int) -> None:
+        """See to its tests and to the time it has for coming up."""
+        if self.stream is None:
+            if now - self.began >= self.pool.hosts.limits.connect_time:
+                self.fail(Close.UNREACHABLE)
+        elif self.tested is not None:
+            if now - self.tested >= DEAF:
+                self.fail(Close.UNREACHABLE)
+        elif now - self.heard >= QUIET:
+            self._test()
+
+    def fail(self, reason: Close) -> None:
+        """End it from this side for a reason of the other's."""
+        self._reason = reason
+        if self.raw is not None:
+            self.raw.abort()
+
+    def close(self) -> None:
+        """Send what is queued and close."""
+        if not self.over:
+            self.over = True
+            if self.stream is not None:
+                self.stream.close()
+
+    def opened(self, stream: Stream) -> None:
+        self.stream, self.was_open = stream, True
+        self.heard = self.pool.hosts.loop.now()
+        self.pool.opened(self)
+        if self.attempt is not None:
+            self._test()
+
+    def received(self, data: bytes) -> None:
+        self.heard = self.pool.hosts.loop.now()
+        for message in self._reader.feed(data):
+            if message.fault is not None:
+                self._fault = True
+                break
+            self._message(message)
+        if (self._fault or self._reader.broken) and self.stream is not None:
+            self._fault = True
+            self.stream.abort()
+
+    def _message(self, message: Message) -> None:
+        kind, call, attempt = message.kind, message.call, self.attempt
+        events, host = self.pool.hosts.events, self.pool.host
+        if kind == Kind.TESTED:
+            self.tested = None
+            if attempt is not None and attempt.end is None:
+                self.write(attempt.frame)
+                attempt.end = self.written
+        elif kind == Kind.TEST:
+            self.write(tested(call, True))
+        elif kind == Kind.NOTE:
+            events.noted(host, call, message.text(Param.NOTE) or "", message.text(Param.FIGURE) or "")
+        elif kind == Kind.ANSWER:
+            if attempt is not None and attempt.call == call and attempt.end is not None:
+                description = message.params.get(Param.DESCRIPTION)
+                self.attempt = None
+                if description is None:
+                    self.pool.finish(attempt, Evidence.BAD_REPLY)
+                    self.pool.cut(call)
+                else:
+                    self.pool._forget(attempt)
+                    events.started(host, call, description)
+        elif kind == Kind.RELEASE:
+            load = message.text(Param.LOAD) or ""
+            if attempt is not None and attempt.call == call and attempt.end is not None:
+                self.attempt = None
+                self.pool.finish(attempt, _EVIDENCE.get(message.cause, Evidence.CUT), load)
+            else:
+                events.over(host, call, message.cause or 0, load)
+                self.write(encode(Kind.HEARD, call))
+
+    def closed(self, reason: Close) -> None:
+        reason, self.over = self._reason or reason, True
+        attempt, self.attempt = self.attempt, None
+        stream, self.stream = self.stream, None
+        pool = self.pool
+        if attempt is not None:
+            self._broken(attempt, stream, reason)
+        pool.ended(self, reason)
+
+    def _broken(self, attempt: _Attempt, stream: Stream | None, reason: Close) -> None:
+        """Say what the end of the connection proves of its set-up."""
+        pool = self.pool
+        if attempt.end is None:
+            # nothing was sent: another connection may carry it while there is time to connect
+            if reason is Close.REFUSED:
+                pool.finish(attempt, Evidence.REFUSED)
+            elif self.was_open and pool.hosts.loop.now() < attempt.connect_by:
+                attempt.line = None
+                pool.assign(attempt)
+            else:
+                pool.finish(attempt, Evidence.NOT_CONNECTED)
+        elif stream is not None and stream.handed_over < attempt.end:
+            pool.finish(attempt, Evidence.CUT_UNSENT)
+        else:
+            pool.finish(attempt, Evidence.BAD_REPLY if self._fault else Evidence.CUT)
+            pool.cut(attempt.call)
--- /dev/null
+++ b/mintmast/signalling/node.py
@@ -0,0 +1,387 @@
+"""The gateway on the platform: configuration, wiring, signals. `python -m mintmast node` runs it."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from mintmast import interface as api
+from mintmast import wire
+from mintmast.decide import Controller
+from mintmast.decisions import calls as cmd
+from mintmast.decisions.calls import Calls, Stage
+from mintmast.decisions.outcomes import Evidence
+from mintmast.loop import Loop
+from mintmast.loop.real import SelectorLoop, settle_memory
+from mintmast.signalling.asking import MS, Asked, Terms, number_of
+from mintmast.signalling.changelog import ChangeLog
+from mintmast.signalling.hosts import HostLimits, MediaHosts
+from mintmast.signalling.messages import Cause, Kind, Param, encode, release
+from mintmast.signalling.viewers import Viewers
+from mintmast.telemetry.lines import Say, line_writer
+
+Address = tuple[str, int]
+_NOTES = {
+    "got": api.NoteKind.DELIVERED,
+    "level": api.NoteKind.RUNG,
+    "port": api.NoteKind.LINK,
+    "spine": api.NoteKind.UPLINK,
+}
+_STATES = {
+    "Ready": api.ServerState.READY,
+    "Terminating": api.ServerState.DRAINING,
+    "Gone": api.ServerState.GONE,
+}
+# µs after SIGTERM in which set-ups may still come: 0.4 s on new connections, 0.2 s more on open ones; and
+# between looks whether the last is answered
+STILL_COME, STOP_LOOK = 900_000, 50_000
+# part of the descriptors for viewers: their own third, and as much for peers that only hold them; and how
+# many are for the listener, the selector, the change log and what the interpreter needs
+VIEWERS_PART, OWN_SOCKETS = 0.5, 24
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; one line."""
+
+
+class _Limits(msgspec.Struct):
+    sockets: int
+
+
+class _Known(msgspec.Struct, frozen=True):
+    seq: int = 0
+    results: tuple[dict[str, Any], ...] = ()
+
+
+class Config(msgspec.Struct):
+    """The configuration as the platform writes it."""
+
+    name: str
+    listen: str
+    seed: str
+    limits: _Limits
+    changelog: str
+    settings: msgspec.Raw
+    known: _Known = _Known()
+
+
+class _Named(msgspec.Struct):
+    name: str
+    hardLimit: int = 0  # noqa: N815 - the platform's word
+
+
+class _Caps(msgspec.Struct, frozen=True):
+    connectTimeout: int = 250_000  # noqa: N815
+    idleClose: int = 30_000_000  # noqa: N815
+
+
+class _Names(msgspec.Struct):
+    """What the module does not need of the settings: names and transport."""
+
+    services: list[_Named]
+    accounts: list[_Named] = []
+    azs: list[str] = []
+    shapes: list[str] = []
+    caps: _Caps = _Caps()
+
+
+class _Entry(msgspec.Struct):
+    id: str
+    addr: str
+    state: str
+    zone: str = ""
+    kind: str = ""
+    cell: int = 0
+    weight: float = 1.0
+    started_ms: int = 0
+
+
+class _Fleet(msgspec.Struct):
+    version: int
+    servers: list[_Entry]
+    full: bool = False
+
+
+def read_config(path: str) -> Config:
+    """Read the configuration. Raises ConfigError."""
+    try:
+        with open(path, "rb") as file:
+            config = msgspec.json.decode(file.read(), type=Config)
+        int(config.seed, 16)
+        address_of(config.listen)
+        address_of(config.changelog)
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    return config
+
+
+def address_of(text: str) -> Address:
+    """Give host and port of `10.0.0.4:5060`. Raises ValueError."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is not an address and a port")
+    return host.strip("[]"), int(port)
+
+
+class Node:
+    """One gateway on a loop."""
+
+    def __init__(self, loop: Loop, config: Config, say: Say) -> None:
+        self.loop, self.say = loop, say
+        settings = wire.parse_settings(bytes(config.settings))
+        names = self._names = msgspec.json.decode(config.settings, type=_Names)
+        self.settings = settings
+        self.calls = Calls(Controller(settings, int(config.seed, 16)))
+        # what the platform tells as Unix time is put on the loop's clock by one difference for all
+        self._unix = int(loop.wall() * 1_000_000) - loop.now()
+        self._entries: dict[bytes, api.ListEntry] = {}
+        self.stopping = False
+        self.on_stopped: Callable[[], None] = lambda: None
+        viewers = int(config.limits.sockets * VIEWERS_PART)
+        hosts = max(1, config.limits.sockets - viewers - OWN_SOCKETS)
+        caps = names.caps
+        self.hosts = MediaHosts(loop, self, HostLimits(caps.connectTimeout, caps.idleClose, hosts))
+        terms = Terms(
+            {each.name: place for place, each in enumerate(names.services)},
+            tuple(each.deadline for each in settings.classes),
+            {each.name: place for place, each in enumerate(names.accounts)},
+            settings.cells,
+        )
+        self.viewers = Viewers(loop, self, terms, viewers)
+        self._carry(self.calls.start(loop.now()))
+        self.changelog = ChangeLog(loop, address_of(config.changelog), 0, self._news, say)
+        self._known(config)
+        self._listener = loop.listen(*address_of(config.listen), self.viewers.accept)
+
+    # Configuration and signals
+
+    def _known(self, config: Config) -> None:
+        for event in config.known.results:
+            self.changelog.event(event)
+        self.changelog.seq = max(self.changelog.seq, config.known.seq)
+
+    def reload(self, config: Config) -> None:
+        """Take a new configuration: the change log's address and what is known; the rest stays."""
+        self._known(config)
+        self.changelog.move(address_of(config.changelog))
+        self.say("reloaded", changelog=config.changelog, seq=self.changelog.seq)
+
+    def stop(self) -> None:
+        """Take no part in new traffic, answer what still comes, then call `on_stopped`."""
+        if not self.stopping:
+            self.stopping = True
+            self.say("stopping", **self.calls.counts())
+            self.loop.call_at(self.loop.now() + STILL_COME, self._stopped)
+
+    def _stopped(self) -> None:
+        if any(line.open for line in self.viewers.lines.values()):
+            self.loop.call_at(self.loop.now() + STOP_LOOK, self._stopped)
+        else:
+            self.on_stopped()
+
+    # The list
+
+    def _news(self, event: dict[str, Any]) -> None:
+        if "fleet" not in event:
+            return
+        try:
+            fleet = msgspec.convert(event["fleet"], _Fleet)
+            entries = tuple(self._entry(each) for each in fleet.servers)
+            addresses = [address_of(each.addr) for each in fleet.servers]
+        except (msgspec.ValidationError, ValueError) as error:
+            self.say("list", seq=event["seq"], unreadable=str(error))
+            return
+        now = self.loop.now()
+        kind = api.ListKind.FULL if fleet.full else api.ListKind.DELTA
+        commands = self.calls.list(now, api.ServerList(kind, fleet.version, entries))
+        listed = {entry.server for entry in entries}
+        for entry, address in zip(entries, addresses, strict=True):
+            gone = entry.state is api.ServerState.GONE
+            before = self._entries.get(entry.server)
+            if before is not None and entry.started > before.started:
+                commands += self.calls.host_dead(now, entry.server, entry.started)
+            self.hosts.listed(entry.server, address, gone)
+            if gone:
+                self._entries.pop(entry.server, None)
+            else:
+                self._entries[entry.server] = entry
+        if fleet.full:
+            for server in [each for each in self._entries if each not in listed]:
+                del self._entries[server]
+                self.hosts.listed(server, ("", 0), True)
+        self.say("list", seq=event["seq"], full=fleet.full, entries=len(entries), hosts=len(self._entries))
+        self._carry(commands)
+
+    def _entry(self, told: _Entry) -> api.ListEntry:
+        if not 0 < len(told.id) <= 64 or told.state not in _STATES:
+            raise ValueError(f"host {told.id[:64]!r} in state {told.state[:64]!r}")
+        started = told.started_ms * MS - self._unix if told.started_ms else 0
+        return api.ListEntry(
+            told.id.encode(),
+            _STATES[told.state],
+            started,
+            max(0, told.cell),
+            _place(self._names.azs, told.zone),
+            _place(self._names.shapes, told.kind),
+            told.weight,
+        )
+
+    # What viewers do
+
+    def asked(self, viewer: int, asked: Asked) -> None:
+        """Take a set-up."""
+        now = self.loop.now()
+        if not asked.at:
+            self._carry(self.calls.ask(now, asked.wish, viewer))
+        elif asked.at in self._entries:
+            self._carry(self.calls.found(now, asked.wish, viewer, asked.at))
+        else:
+            self.viewers.over(viewer, asked.wish.call, release(asked.wish.call, Cause.TEMPORARY_FAILURE))
+
+    def left(self, call: bytes) -> None:
+        """Take it that nobody waits for the call any more."""
+        self._carry(self.calls.left(self.loop.now(), call))
+        self.viewers.forget(call)
+
+    def stands(self, call: bytes) -> bool | None:
+        """Tell whether a call stands; None where it is not known."""
+        known = self.calls.by_id.get(call)
+        return known.stage is Stage.STANDING if known is not None else None
+
+    def ready(self) -> bool:
+        """Tell whether set-ups are welcome."""
+        return not self.stopping and bool(self._entries)
+
+    # What hosts say
+
+    def started(self, host: bytes, call: bytes, description: bytes) -> None:
+        """Take an answer."""
+        self._carry(self.calls.started(self.loop.now(), call, host, description))
+
+    def ended(self, host: bytes, call: bytes, evidence: Evidence, load: str) -> None:
+        """Take the end of an attempt without an answer."""
+        self.say("attempt", call=call.hex(), host=host.decode(), evidence=evidence.value)
+        self._carry(self.calls.ended(self.loop.now(), call, host, evidence, self._load(load)))
+
+    def over(self, host: bytes, call: bytes, cause: int, load: str) -> None:
+        """Take a release."""
+        outcome = api.Outcome.RESET
+        if cause == Cause.NORMAL_CLEARING:
+            outcome = api.Outcome.SERVED
+        elif cause == Cause.NORMAL_UNSPECIFIED:
+            outcome = api.Outcome.CANCELLED
+        self._carry(self.calls.over(self.loop.now(), call, host, outcome, self._load(load)))
+        if outcome is api.Outcome.CANCELLED:
+            self.viewers.forget(call)
+
+    def noted(self, host: bytes, call: bytes, name: str, figure: str) -> None:
+        """Take a note."""
+        kind, value = _NOTES.get(name), number_of(figure)
+        if kind is not None and value is not None:
+            self._carry(self.calls.noted(self.loop.now(), call, host, kind, value))
+
+    def dead(self, host: bytes, when: int) -> None:
+        """Take it that the host's process was gone at `when`."""
+        commands = self.calls.host_dead(self.loop.now(), host, when)
+        if commands:
+            self.say("dead", host=host.decode(), sessions=len(commands))
+        self._carry(commands)
+
+    def wanted(self, host: bytes) -> bool:
+        """Tell whether sessions stand at the host."""
+        return self.calls.standing_at(host)
+
+    def _load(self, text: str) -> tuple[float, ...]:
+        """Read `x0:12;x1:40` in the order of the settings; what is not told is not a number."""
+        if not text:
+            return ()
+        told = dict(part.partition(":")[::2] for part in text.split(";"))
+        values = (number_of(told.get(name, "")) for name in self.settings.load_fields)
+        return tuple(float("nan") if value is None else value for value in values)
+
+    # What follows
+
+    def _carry(self, commands: list[cmd.Command]) -> None:
+        for command in commands:
+            _CARRY[type(command)](self, command)
+
+    def _send(self, c: cmd.SendSetUp) -> None:
+        wait = max(1, (c.until - self.loop.now()) // MS)
+        service, title, description = c.passed
+        params = [
+            (Param.CLASS, service),
+            (Param.PATIENCE, b"%d" % wait),
+            (Param.TITLE, title),
+            (Param.RUNG, b"%d" % c.rung),
+            (Param.DESCRIPTION, description),
+        ]
+        self.hosts.set_up(c.host, c.call, encode(Kind.SET_UP, c.call, params), c.until)
+
+    def _answer(self, c: cmd.Answer) -> None:
+        if not self.viewers.answer(c.viewer, c.call, c.description):
+            self._carry(self.calls.left(self.loop.now(), c.call))
+
+    def _refuse(self, c: cmd.Refuse) -> None:
+        cause = Cause.SWITCHING_EQUIPMENT_CONGESTION
+        self.viewers.end(c.viewer, c.call, cause, -(-c.retry_after // MS))
+
+    def _release(self, c: cmd.Release) -> None:
+        cause = Cause.NORMAL_CLEARING if c.whole else Cause.TEMPORARY_FAILURE
+        self.viewers.over(c.viewer, c.call, release(c.call, cause))
+
+    def _wake(self, c: cmd.Wake) -> None:
+        when = self.loop.now() + c.delay
+        self.loop.call_at(when, lambda: self._carry(self.calls.woken(self.loop.now(), c.token)))
+
+
+_CARRY: dict[type, Callable[[Node, Any], None]] = {
+    cmd.SendSetUp: Node._send,
+    cmd.CallOff: lambda node, c: node.hosts.call_off(c.host, c.call),
+    cmd.Cut: lambda node, c: node.hosts.cut(c.host, c.call),
+    cmd.TellRung: lambda node, c: node.hosts.rung(c.host, c.call, c.rung),
+    cmd.Answer: Node._answer,
+    cmd.Refuse: Node._refuse,
+    cmd.Fail: lambda node, c: node.viewers.end(c.viewer, c.call, Cause.TEMPORARY_FAILURE),
+    cmd.Release: Node._release,
+    cmd.MoveAway: lambda node, c: node.viewers.over(c.viewer, c.call, encode(Kind.MOVE, c.call)),
+    cmd.Wake: Node._wake,
+    cmd.Say: lambda node, c: node.say("module", text=c.text),
+}
+
+
+def _place(names: list[str], name: str) -> int:
+    return names.index(name) if name in names else len(names)
+
+
+def run(path: str) -> int:
+    """Run until SIGTERM has done its work. Gives the exit code: 2 for a bad configuration."""
+    say = line_writer(sys.stdout, time.time, gateway=os.environ.get("NODE_NAME", ""))
+    loop = SelectorLoop(lambda text: say("error", text=text))
+    try:
+        node = Node(loop, read_config(path), say)
+    except (ConfigError, wire.WireError, msgspec.MsgspecError, OSError) as error:
+        print(f"mintmast: {error}", file=sys.stderr)
+        return 2
+
+    def reload() -> None:
+        try:
+            node.reload(read_config(path))
+        except ConfigError as error:
+            say("reload", refused=str(error))
+
+    loop.on_signal(reload, signal.SIGHUP)
+    loop.on_signal(node.stop, signal.SIGTERM, signal.SIGINT)
+    node.on_stopped = loop.stop
+    settle_memory()
+    say("serving", hosts=len(node._entries), seq=node.changelog.seq)
+    loop.run()
+    say("stopped", longest_turn_ms=loop.longest_turn / MS, turns=loop.turns, **node.calls.counts())
+    return 0
--- /dev/null
+++ b/mintmast/signalling/viewers.py
@@ -0,0 +1,249 @@
+"""Connections of viewers: set-ups in, their one answer out, and no time for those that only hold them."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Protocol
+
+from mintmast.loop import Close, Handler, Loop, Stream
+from mintmast.signalling import asking, messages
+from mintmast.signalling.asking import Asked, Terms
+from mintmast.signalling.messages import Cause, Kind, Message, Param, Reader, encode, release
+
+# µs between looks at connections
+LOOK = 250_000
+# µs that a connection has for its first message, and a message for its last byte: such peers are owed a
+# close within 3 s
+PATIENCE = 2_000_000
+# releases that wait for a connection of their viewer's side, and how long (µs): then their time is over
+MOST_OWED, OWED_FOR = 1024, 8_000_000
+
+
+class ViewerEvents(Protocol):
+    """What viewers do."""
+
+    def asked(self, viewer: int, asked: Asked) -> None:
+        """Take a set-up."""
+
+    def left(self, call: bytes) -> None:
+        """Take it that nobody waits for the call any more."""
+
+    def stands(self, call: bytes) -> bool | None:
+        """Tell whether a call stands; None where it is not known."""
+
+    def ready(self) -> bool:
+        """Tell whether set-ups are welcome."""
+
+
+class Viewers:
+    """All connections of viewers; `most` bounds them."""
+
+    def __init__(self, loop: Loop, events: ViewerEvents, terms: Terms, most: int) -> None:
+        self.loop, self.events, self.terms, self.most = loop, events, terms, most
+        self.lines: dict[int, _Line] = {}
+        self._count = 0
+        self._peers: dict[bytes, str] = {}  # of sessions whose connection is gone: the viewer's side
+        self._owed: deque[tuple[int, str, bytes]] = deque(maxlen=MOST_OWED)
+        self.faults = 0
+        loop.call_at(loop.now() + LOOK, self._look)
+
+    def accept(self) -> Handler:
+        """Make the handler of a new connection."""
+        if len(self.lines) >= self.most:
+            self._make_room()
+        self._count += 1
+        line = self.lines[self._count] = _Line(self, self._count)
+        return line
+
+    def _make_room(self) -> None:
+        """Close the connection that carries least and has been quiet for longest."""
+        line = min(self.lines.values(), key=lambda e: (bool(e.open), bool(e.carried), e.good, e.heard))
+        line.fail_all(Cause.SWITCHING_EQUIPMENT_CONGESTION)
+        line.end()
+
+    # Answers
+
+    def answer(self, viewer: int, call: bytes, description: bytes) -> bool:
+        """Pass on a host's answer; False where the viewer's connection is gone."""
+        line = self.lines.get(viewer)
+        if line is None or call not in line.open:
+            return False
+        line.open.discard(call)
+        line.carried.add(call)
+        line.write(encode(Kind.ANSWER, call, [(Param.DESCRIPTION, description)]))
+        return True
+
+    def end(self, viewer: int, call: bytes, cause: Cause, stay_away: int = 0) -> None:
+        """Refuse or fail a set-up; `stay_away` in ms."""
+        line = self.lines.get(viewer)
+        if line is not None and call in line.open:
+            line.open.discard(call)
+            line.write(release(call, cause, stay_away))
+
+    def over(self, viewer: int, call: bytes, frame: bytes) -> None:
+        """Tell the end of a session on its connection, else on another of the same side, else on the next."""
+        line = self.lines.get(viewer)
+        if line is not None:
+            line.carried.discard(call)
+            line.write(frame)
+            return
+        peer = self._peers.pop(call, None)
+        if peer is None:
+            return
+        others = [each for each in self.lines.values() if each.good and each.peer == peer]
+        if others:
+            max(others, key=lambda each: each.heard).write(frame)
+        else:
+            self._owed.append((self.loop.now() + OWED_FOR, peer, frame))
+
+    def gone(self, line: _Line) -> None:
+        """Forget a connection, but not whose side the sessions are on that were answered there."""
+        self.lines.pop(line.number, None)
+        for call in line.carried:
+            self._peers[call] = line.peer
+
+    def forget(self, call: bytes) -> None:
+        """Forget a session that ended without a word to its viewer."""
+        self._peers.pop(call, None)
+
+    def pay(self, line: _Line) -> None:
+        """Send what waits for a connection of this side."""
+        now, kept = self.loop.now(), []
+        for until, peer, frame in self._owed:
+            if peer == line.peer and now < until:
+                line.write(frame)
+            elif now < until:
+                kept.append((until, peer, frame))
+        self._owed = deque(kept, MOST_OWED)
+
+    def _look(self) -> None:
+        now = self.loop.now()
+        self.loop.call_at(now + LOOK, self._look)
+        for line in list(self.lines.values()):
+            late = line.partial_since is not None and now - line.partial_since > PATIENCE
+            if late or (not line.good and now - line.began > PATIENCE):
+                line.condemn(Cause.TEMPORARY_FAILURE)
+
+
+class _Line(Handler):
+    """One connection of a viewer's side."""
+
+    def __init__(self, viewers: Viewers, number: int) -> None:
+        self.viewers, self.number = viewers, number
+        self.stream: Stream | None = None
+        self.peer = ""
+        self.open: set[bytes] = set()  # set-ups that wait for their answer here
+        self.carried: set[bytes] = set()  # sessions that were answered here
+        self.good = False  # something was understood
+        self.over = False
+        self.began = self.heard = viewers.loop.now()
+        self.partial_since: int | None = None
+        self._reader = Reader()
+        self._fresh: dict[bytes, Asked] = {}
+
+    def write(self, data: bytes) -> None:
+        """Write, where it is open."""
+        if self.stream is not None:
+            self.stream.write(data)
+
+    def opened(self, stream: Stream) -> None:
+        self.stream, self.peer = stream, stream.peer[0]
+
+    def received(self, data: bytes) -> None:
+        if self.over:
+            return
+        now = self.heard = self.viewers.loop.now()
+        for message in self._reader.feed(data):
+            self._message(message)
+            if self.over:
+                return
+        if self._reader.broken:
+            self.condemn(Cause.PROTOCOL_ERROR)
+            return
+        self.partial_since = (self.partial_since or now) if self._reader.partial else None
+        # set-ups go on only now: what was taken back with the same bytes never costs a host anything
+        fresh, self._fresh = self._fresh, {}
+        for asked in fresh.values():
+            self.viewers.events.asked(self.number, asked)
+
+    def _message(self, message: Message) -> None:
+        kind = message.kind
+        if kind == Kind.SET_UP:
+            self._set_up(message)
+        elif message.fault is not None:
+            self.condemn(message.fault)
+        elif kind == Kind.RELEASE:
+            self._release(message.call)
+        elif kind == Kind.TEST:
+            self._good()
+            self.write(messages.tested(message.call, self.viewers.events.ready()))
+        elif kind not in (Kind.HEARD, Kind.PROGRESS):
+            self.condemn(Cause.PROTOCOL_ERROR)
+
+    def _good(self) -> None:
+        if not self.good:
+            self.good = True
+            self.viewers.pay(self)
+
+    def _set_up(self, message: Message) -> None:
+        call = message.call
+        if call in self.open:  # two set-ups under one number: one answer would be read for either
+            self.condemn(Cause.PROTOCOL_ERROR)
+            return
+        asked = asking.read(message, self.viewers.terms)
+        known = self.viewers.events.stands(call)
+        if isinstance(asked, Asked) and asked.at and known is not None:
+            return
+        if isinstance(asked, Cause) or known is not None:
+            cause = asked if isinstance(asked, Cause) else Cause.INVALID_CALL_REFERENCE
+            self.write(release(call, cause))
+            self.condemn(Cause.PROTOCOL_ERROR)
+            return
+        self._good()
+        if asked.at:
+            self.carried.add(call)
+        else:
+            self.open.add(call)
+        self._fresh[call] = asked
+
+    def _release(self, call: bytes) -> None:
+        if self._fresh.pop(call, None) is not None:
+            self.open.discard(call)
+        elif call in self.open:
+            self.open.discard(call)
+            self.viewers.events.left(call)
+        elif self.viewers.events.stands(call):
+            self._good()
+            self.carried.discard(call)
+            self.viewers.events.left(call)
+        self.write(encode(Kind.HEARD, call))
+
+    def fail_all(self, cause: Cause) -> None:
+        """Answer what is open here, as nothing more can be believed of it."""
+        waiting, self.open = self.open, set()
+        for call in waiting:
+            if self._fresh.pop(call, None) is None:
+                self.viewers.events.left(call)
+            self.write(release(call, cause))
+
+    def condemn(self, cause: Cause) -> None:
+        """Fail what is open and close: the peer does not speak the protocol, or not in its time."""
+        self.viewers.faults += 1
+        self.fail_all(cause)
+        self.end()
+
+    def end(self) -> None:
+        """Read no more, send what is queued, close."""
+        if not self.over:
+            self.over = True
+            if self.stream is not None:
+                self.stream.pause()
+                self.stream.close()
+
+    def closed(self, reason: Close) -> None:
+        self.over, self.stream = True, None
+        self.viewers.gone(self)
+        waiting, self.open = self.open, set()
+        for call in waiting:
+            if self._fresh.pop(call, None) is None:
+                self.viewers.events.left(call)
--- /dev/null
+++ b/mintmast/telemetry/metrics.py
@@ -0,0 +1,99 @@
+"""Metrics (prometheus-client) and traces (OpenTelemetry) of a gateway, fed by its log events."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from mintmast.telemetry.lines import Say
+
+# s; bounds of the histograms: a decision takes parts of a ms, a viewer waits seconds
+_ANSWER_BUCKETS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5)
+_TURN_BUCKETS = (0.0001, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.05, 0.25)
+
+
+class Metrics:
+    """What a gateway counts, fed by its log events; `text` gives the exposition format."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.answers = Counter("mintmast_answers", "answers given", ["verdict"], registry=self.registry)
+        self.attempts = Counter(
+            "mintmast_attempts", "set-ups by what was seen of them", ["evidence"], registry=self.registry
+        )
+        self.answer_time = Histogram(
+            "mintmast_answer_seconds", "time to an answer", buckets=_ANSWER_BUCKETS, registry=self.registry
+        )
+        self.turn_time = Histogram(
+            "mintmast_turn_seconds", "turns of the loop", buckets=_TURN_BUCKETS, registry=self.registry
+        )
+        self.held = Gauge("mintmast_sessions", "sessions under way or playing", registry=self.registry)
+        self.late = Gauge(
+            "mintmast_late_starts", "sessions started after they were given up", registry=self.registry
+        )
+
+    def take(self, event: str, fields: dict[str, Any]) -> None:
+        """Count a log event."""
+        if event == "request":
+            self.answers.labels(fields["verdict"]).inc()
+            self.answer_time.observe(fields["took_ms"] / 1000)
+        elif event == "attempt":
+            self.attempts.labels(fields["evidence"]).inc()
+
+    def text(self) -> bytes:
+        """Give all in the text exposition format."""
+        return generate_latest(self.registry)
+
+
+class Traces:
+    """A share of the requests as OpenTelemetry spans in the log: the request, and each attempt in it."""
+
+    def __init__(self, share: float, seed: int, say: Say, wall: Callable[[], float]) -> None:
+        from opentelemetry.sdk.resources import Resource
+        from opentelemetry.sdk.trace import TracerProvider
+        from opentelemetry.sdk.trace.export import SimpleSpanProcessor, SpanExporter, SpanExportResult
+
+        class Exporter(SpanExporter):
+            def export(self, spans: Any) -> Any:
+                for span in spans:
+                    say(
+                        "span",
+                        name=span.name,
+                        trace=f"{span.context.trace_id:032x}",
+                        span=f"{span.context.span_id:016x}",
+                        parent=f"{span.parent.span_id:016x}" if span.parent else None,
+                        start_ns=span.start_time,
+                        end_ns=span.end_time,
+                        attributes=dict(span.attributes or {}),
+                    )
+                return SpanExportResult.SUCCESS
+
+        provider = TracerProvider(resource=Resource.create({"service.name": "mintmast"}))
+        provider.add_span_processor(SimpleSpanProcessor(Exporter()))
+        self._tracer = provider.get_tracer("mintmast")
+        self._share, self._random, self._wall = share, random.Random(seed), wall
+        self._attempts: dict[str, list[tuple[int, int, dict[str, Any]]]] = {}
+
+    def take(self, event: str, fields: dict[str, Any]) -> None:
+        """Take a log event."""
+        from opentelemetry import trace
+
+        now = int(self._wall() * 1e9)
+        begin = now - int(fields.get("took_ms", 0) * 1e6)
+        if event == "attempt":
+            if len(self._attempts) < 10_000:
+                self._attempts.setdefault(fields["session"], []).append((begin, now, fields))
+        elif event == "request":
+            attempts = self._attempts.pop(fields["session"], []) if fields["session"] else []
+            if self._random.random() >= self._share:
+                return
+            told = {key: value for key, value in fields.items() if value is not None}
+            span = self._tracer.start_span("request", start_time=begin, attributes=told)
+            context = trace.set_span_in_context(span)
+            for first, last, about in attempts:
+                child = self._tracer.start_span("attempt", context, start_time=first, attributes=about)
+                child.end(last)
+            span.end(now)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -12,12 +12,14 @@
 
 from mintmast.cli import main
 from mintmast.config import SCHEMA, ConfigError, parse
-from mintmast.hosts.protocol import EventReader, event, load_header, read_load
+from mintmast.hosts.protocol import event, load_header, read_load
+from mintmast.http.events import EventReader
 from mintmast.interface import ListEntry, ServerState
 from mintmast.lab.drills import Day, settings
 from mintmast.lab.stage import ACCESS, SESSION
 from mintmast.sources.fixed import SavedList
-from mintmast.telemetry import Metrics, Traces, line_writer
+from mintmast.telemetry.lines import line_writer
+from mintmast.telemetry.metrics import Metrics, Traces
 
 
 def good():
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,287 @@
+"""The gateway on the platform, whole, in memory: what passed on the connections is what is checked."""
+
+import pytest
+from platform_world import MS, Cause, Kind, Param, Platform, entry, news, refuse, set_up, silent
+
+from mintmast.signalling.messages import Reader, encode, release
+
+
+def one_answer(end, call):
+    ends = [m for m in end.of(call) if m.kind in (Kind.ANSWER, Kind.RELEASE)]
+    assert len(ends) == 1, ends
+    return ends[0]
+
+
+def test_a_session_from_set_up_to_its_end():
+    platform = Platform("a")
+    end, host = platform.viewer(), platform.hosts["a"]
+    call = platform.ask(end, "paid")
+    platform.run(0.1)
+    assert one_answer(end, call).params[Param.DESCRIPTION] == b"from a"
+    sent = host.set_ups[0][1]
+    assert sent.params[Param.CLASS] == b"paid" and sent.params[Param.DESCRIPTION] == b"v=0"
+    assert sent.params[Param.RUNG] == b"2" and 2900 < int(sent.params[Param.PATIENCE]) <= 3000
+    host.live()[-1].stream.write(release(call, Cause.NORMAL_CLEARING))
+    platform.run(0.1)
+    assert end.of(call, Kind.RELEASE)[0].cause == Cause.NORMAL_CLEARING
+    assert not platform.node.calls.by_id and not platform.node.calls.module.sessions
+
+
+def test_a_paid_set_up_with_no_word_of_its_end_is_failed_once_and_never_sent_again():
+    platform = Platform("a", "b", script=silent)
+    end = platform.viewer()
+    call = platform.ask(end, "paid", ms=1000)
+    platform.run(2)
+    assert one_answer(end, call).cause == Cause.TEMPORARY_FAILURE
+    assert sum(len(host.set_ups) for host in platform.hosts.values()) == 1
+
+
+def test_a_set_up_turned_away_as_full_goes_to_another_host_also_when_paid():
+    platform = Platform("a", "b")
+    platform.hosts["a"].script = refuse(Cause.NO_CIRCUIT_AVAILABLE)
+    for _ in range(8):
+        end = platform.viewer()
+        call = platform.ask(end, "paid")
+        platform.run(0.1)
+        assert one_answer(end, call).params[Param.DESCRIPTION] == b"from b"
+    assert platform.hosts["a"].set_ups
+
+
+def test_a_host_that_is_cut_off_costs_a_paid_set_up_nothing_as_a_test_goes_first():
+    platform = Platform("a", "b")
+    end = platform.viewer()
+    for _ in range(12):
+        platform.ask(end)
+    platform.run(0.5)
+    platform.world.cuts |= {("gw", "a"), ("a", "gw")}
+    calls = [platform.ask(end, "paid") for _ in range(6)]
+    platform.run(1)
+    assert {one_answer(end, call).params.get(Param.DESCRIPTION) for call in calls} == {b"from b"}
+
+
+def test_what_stood_on_a_host_that_vanished_is_released_to_its_viewer_within_8_s():
+    platform = Platform("a")
+    end = platform.viewer()
+    call = platform.ask(end)
+    platform.run(0.1)
+    platform.world.cuts |= {("gw", "a"), ("a", "gw")}
+    platform.run(7)
+    assert end.of(call, Kind.RELEASE)[0].cause == Cause.TEMPORARY_FAILURE
+
+
+def test_what_stood_on_a_host_that_died_is_released_at_once():
+    platform = Platform("a")
+    end = platform.viewer()
+    call = platform.ask(end)
+    platform.run(0.1)
+    platform.hosts["a"].node.kill()
+    platform.run(0.9)
+    assert end.of(call, Kind.RELEASE)
+
+
+def test_a_connection_reset_while_idle_takes_no_session_with_it():
+    platform = Platform("a")
+    end, host = platform.viewer(), platform.hosts["a"]
+    call = platform.ask(end)
+    platform.run(0.1)
+    for each in host.live():
+        each.stream.abort()
+    platform.run(0.1)
+    host.live()[-1].stream.write(release(call, Cause.NORMAL_CLEARING))
+    platform.run(0.1)
+    assert [m.cause for m in end.of(call, Kind.RELEASE)] == [Cause.NORMAL_CLEARING]
+
+
+def test_an_answer_that_cannot_be_read_ends_its_connection_and_the_session_behind_it():
+    def spoilt(host, end, message):
+        end.stream.write(b"\xff\xff" + bytes(50))
+
+    platform = Platform("a", script=spoilt)
+    end, host = platform.viewer(), platform.hosts["a"]
+    call = platform.ask(end, "paid")
+    platform.run(0.5)
+    assert one_answer(end, call).cause == Cause.TEMPORARY_FAILURE
+    assert call in host.cuts
+
+
+def test_a_set_up_given_up_is_given_up_at_the_host_and_answered_by_no_release():
+    platform = Platform("a", script=silent)
+    end, host = platform.viewer(), platform.hosts["a"]
+    call = platform.ask(end)
+    platform.run(0.05)
+    end.stream.write(release(call, Cause.NORMAL_CLEARING))
+    platform.run(0.1)
+    assert call in host.cuts and not end.of(call, Kind.RELEASE)
+    assert not platform.node.calls.by_id and not platform.node.calls.module.sessions
+
+
+def test_what_is_taken_back_with_the_same_bytes_reaches_no_host():
+    platform = Platform("a")
+    end = platform.viewer()
+    call = bytes(8)
+    end.stream.write(set_up(call) + release(call, Cause.NORMAL_CLEARING))
+    platform.run(0.1)
+    assert not platform.hosts["a"].set_ups and end.of(call, Kind.HEARD)
+
+
+BAD = {
+    "unknown class": {"service": "gold"},
+    "unknown tenant": {"tenant": "nobody"},
+    "no tenant": {"tenant": None},
+    "no title": {"title": None},
+    "title not in hex": {"title": "z" * 16},
+    "no description": {"description": None},
+    "patience that is no number": {"patience": "soon"},
+    "patience beyond the class": {"ms": 600_000},
+    "no patience left": {"ms": 0},
+    "negative hint": {"hint": "-5"},
+    "hint not a number": {"hint": "nan"},
+    "hint without end": {"hint": "1e400"},
+    "copies below one": {"figures": "home:0;copies:0;top:1"},
+    "home with a fraction": {"figures": "home:0.5;copies:1;top:1"},
+    "figures twice": {"figures": "home:0;home:1"},
+    "figures without a colon": {"figures": "home"},
+}
+
+
+@pytest.mark.parametrize("what", BAD)
+def test_a_set_up_out_of_range_is_failed_and_its_connection_closed(what):
+    platform = Platform("a")
+    end = platform.viewer()
+    call = platform.ask(end, **BAD[what])
+    platform.run(0.1)
+    assert one_answer(end, call).cause in (
+        Cause.INVALID_ELEMENT_CONTENTS,
+        Cause.MANDATORY_ELEMENT_MISSING,
+    )
+    assert end.closed_by is not None and not platform.hosts["a"].set_ups
+
+
+NOISE = {
+    "noise": b"GET / HTTP/1.1\r\n\r\n",
+    "length 0": bytes(40),
+    "length over the most": b"\x40\x01\x01" + bytes(60_000),
+    "type that is none": b"\x00\x09\x63" + bytes(8),
+    "a message that never ends": b"\x30\x00\x01" + bytes(100),
+    "nothing at all": b"",
+    "parameters beyond their message": b"\x00\x0c\x01" + bytes(8) + b"\x10\xff\xff",
+    "an answer from a viewer": encode(Kind.ANSWER, bytes(8)),
+}
+
+
+@pytest.mark.parametrize("what", NOISE)
+def test_what_cannot_be_read_is_closed_within_3_s(what):
+    platform = Platform("a")
+    end = platform.viewer()
+    end.stream.write(NOISE[what])
+    platform.run(2.9)
+    assert end.closed_by is not None
+    other = platform.viewer()
+    call = platform.ask(other)
+    platform.run(0.1)
+    assert one_answer(other, call).kind == Kind.ANSWER
+
+
+def test_two_set_ups_under_one_number_are_both_failed_by_one_release():
+    platform = Platform("a", script=silent)
+    end = platform.viewer()
+    call = platform.ask(end)
+    platform.run(0.05)
+    end.stream.write(set_up(call, description="v=1"))
+    platform.run(0.1)
+    assert one_answer(end, call).kind == Kind.RELEASE and end.closed_by is not None
+    assert call in platform.hosts["a"].cuts
+
+
+def test_the_number_of_another_viewers_set_up_does_that_viewer_no_harm():
+    platform = Platform("a", script=silent)
+    good, bad = platform.viewer(), platform.viewer()
+    call = platform.ask(good)
+    platform.run(0.05)
+    bad.stream.write(set_up(call, description="v=1"))
+    bad.stream.write(release(call, Cause.NORMAL_CLEARING))
+    platform.run(0.05)
+    assert one_answer(bad, call).cause == Cause.INVALID_CALL_REFERENCE
+    platform.hosts["a"].live()[-1].stream.write(
+        encode(Kind.ANSWER, call, [(Param.DESCRIPTION, b"late but good")])
+    )
+    platform.run(0.05)
+    assert one_answer(good, call).params[Param.DESCRIPTION] == b"late but good"
+
+
+def test_a_new_host_at_the_address_of_one_that_has_gone_is_another_host():
+    platform = Platform("a")
+    end = platform.viewer()
+    call = platform.ask(end)
+    platform.run(0.1)
+    platform.hosts["a"].node.kill()
+    platform.hosts["a"].up()
+    old, new = entry("a", "Gone"), entry("b", addr="a:5060")
+    platform.node.changelog.event(news(2, old, new))
+    platform.run(0.5)
+    assert end.of(call, Kind.RELEASE)
+    platform.ask(end)
+    platform.run(0.1)
+    assert set(platform.node.hosts.pools) == {b"id-b"}
+
+
+def test_the_change_log_is_taken_up_where_it_broke_off_and_heard_once():
+    platform = Platform("a")
+    log = platform.log
+    whole = b"id: 2\ndata: " + _json(news(2, entry("b"))) + b"\n\n"
+    log.tell(whole[: len(whole) // 2])
+    platform.run(0.05)
+    assert len(platform.node._entries) == 1
+    log.streams[0].abort()
+    platform.run(0.2)
+    assert log.asked == ["1", "1"]
+    log.tell(whole + whole)
+    platform.run(0.05)
+    assert len(platform.node._entries) == 2 and platform.node.changelog.seq == 2
+    log.quiet = True
+    platform.run(3.5)
+    assert log.asked[-1] == "2" and len(log.asked) == 3
+
+
+def test_a_stopping_gateway_fails_tests_answers_what_still_comes_and_ends():
+    platform = Platform("a")
+    stopped = []
+    platform.node.on_stopped = lambda: stopped.append(platform.now())
+    platform.node.stop()
+    platform.run(0.5)
+    end = platform.viewer()
+    end.stream.write(encode(Kind.TEST, bytes(8), [(Param.CAUSE, b"\0")]))
+    call = platform.ask(end)
+    platform.run(0.2)
+    assert end.of(bytes(8), Kind.TESTED)[0].cause == 0
+    assert one_answer(end, call).kind == Kind.ANSWER and not stopped
+    platform.run(1)
+    assert stopped
+
+
+def test_connections_beyond_their_bound_push_out_those_that_carry_nothing():
+    platform = Platform("a", script=silent, sockets=64)
+    good = platform.viewer()
+    call = platform.ask(good, ms=2000)
+    platform.run(0.02)
+    idle = [platform.viewer() for _ in range(60)]
+    assert len(platform.node.viewers.lines) <= 32 and good.closed_by is None
+    assert idle[0].closed_by is not None
+    platform.run(2.5)
+    assert one_answer(good, call).kind == Kind.RELEASE
+
+
+def test_codec_gives_the_same_messages_however_the_bytes_are_cut():
+    data = set_up(b"12345678") + release(b"87654321", 41, 250) + encode(Kind.HEARD, bytes(8))
+    whole = Reader().feed(data)
+    reader, parts = Reader(), []
+    for at in range(len(data)):
+        parts += reader.feed(data[at : at + 1])
+    assert parts == whole and len(whole) == 3 and whole[1].cause == 41
+    assert whole[1].params[Param.STAY_AWAY] == b"250" and MS == 1000
+
+
+def _json(value):
+    import json
+
+    return json.dumps(value).encode()
