A number taken from a set-up on its way closes no viewer's connection; odd set-ups fail alone

Ruled out: pushing out at the bound (no line of it), slow readers, messages cut in two. Cause: a bad client copies the number of a set-up on its way; where its bytes are read first in a turn of the loop, the viewer's own set-up is the second, and Viewers' _set_up closed the connection that brought it, then the one on which the platform sent it once more.

The change: a set-up that cannot be is failed alone on a connection that was answered before; of two under one number on two connections, the one never answered is exposed and neither is set up. The rule for pushing out weighs sessions first; a message that ends starts the time of the next anew.

--- a/mintmast/signalling/asking.py
+++ b/mintmast/signalling/asking.py
@@ -14,6 +14,7 @@
 _TITLE = re.compile(r"[0-9a-fA-F]{16}")
 # bytes that patience, rung and the head take in the set-up to a host
 _OUR_PART = 64
+_ALWAYS, _NO_CALL = {Param.CLASS, Param.TITLE, Param.FIGURES}, bytes(8)
 
 
 @dataclass(slots=True, frozen=True)
@@ -40,8 +41,8 @@
         return message.fault
     service = terms.classes.get(message.text(Param.CLASS) or "")
     title = message.text(Param.TITLE) or ""
-    figures = _figures(message.text(Param.FIGURES) if Param.FIGURES in message.params else "")
-    if Param.CLASS not in message.params or Param.TITLE not in message.params:
+    figures = _figures(message.text(Param.FIGURES))
+    if not _ALWAYS <= message.params.keys() or message.call == _NO_CALL:
         return Cause.MANDATORY_ELEMENT_MISSING
     if service is None or not _TITLE.fullmatch(title) or figures is None:
         return Cause.INVALID_ELEMENT_CONTENTS
@@ -57,9 +58,10 @@
     budget = _whole(message.text(Param.PATIENCE), 1, terms.patience[service] // MS + 1)
     if not at and (Param.PATIENCE not in message.params or Param.DESCRIPTION not in message.params):
         return Cause.MANDATORY_ELEMENT_MISSING
-    home = _figure(figures.get("home", "0"), 0, 65_535)
-    copies = _figure(figures.get("copies", str(max(1, terms.cells))), 1, 65_535)
-    top = _figure(figures.get("top", "255"), 0, 255)
+    # without these nobody can tell where the session may go: a guess could name a host without the title
+    home = _figure(figures.get("home", ""), 0, 65_535)
+    copies = _figure(figures.get("copies", ""), 1, 65_535)
+    top = _figure(figures.get("top", ""), 0, 255)
     hint = _span(message.text(Param.HINT)) if Param.HINT in message.params else 0
     retry = message.text(Param.RETRY) if Param.RETRY in message.params else ""
     passed = (
--- a/mintmast/signalling/node.py
+++ b/mintmast/signalling/node.py
@@ -155,7 +155,7 @@
             {each.name: place for place, each in enumerate(names.accounts)},
             settings.cells,
         )
-        self.viewers = Viewers(loop, self, terms, viewers)
+        self.viewers = Viewers(loop, self, terms, viewers, say)
         self._carry(self.calls.start(loop.now()))
         self.changelog = ChangeLog(loop, address_of(config.changelog), 0, self._news, say)
         self._known(config)
--- a/mintmast/signalling/viewers.py
+++ b/mintmast/signalling/viewers.py
@@ -9,6 +9,7 @@
 from mintmast.signalling import asking, messages
 from mintmast.signalling.asking import Asked, Terms
 from mintmast.signalling.messages import Cause, Kind, Message, Param, Reader, encode, release
+from mintmast.telemetry.lines import Say
 
 # µs between looks at connections
 LOOK = 250_000
@@ -38,8 +39,8 @@
 class Viewers:
     """All connections of viewers; `most` bounds them."""
 
-    def __init__(self, loop: Loop, events: ViewerEvents, terms: Terms, most: int) -> None:
-        self.loop, self.events, self.terms, self.most = loop, events, terms, most
+    def __init__(self, loop: Loop, events: ViewerEvents, terms: Terms, most: int, say: Say) -> None:
+        self.loop, self.events, self.terms, self.most, self.say = loop, events, terms, most, say
         self.lines: dict[int, _Line] = {}
         self._count = 0
         self._peers: dict[bytes, str] = {}  # of sessions whose connection is gone: the viewer's side
@@ -56,9 +57,15 @@
         return line
 
     def _make_room(self) -> None:
-        """Close the connection that carries least and has been quiet for longest."""
-        line = min(self.lines.values(), key=lambda e: (bool(e.open), bool(e.carried), e.good, e.heard))
-        line.fail_all(Cause.SWITCHING_EQUIPMENT_CONGESTION)
+        """Close the connection that carries least and has been quiet for longest.
+
+        Danger: peers that hold hundreds of connections, each with a set-up open, would push out one on
+        which sessions stand and that has no set-up open just now; nobody could be told of their ends.
+        """
+        line = min(self.lines.values(), key=lambda e: (len(e.carried), len(e.open), e.good, e.heard))
+        if line.carried:
+            self.say("viewer pushed out", peer=line.peer, open=len(line.open), sessions=len(line.carried))
+        line.fail_all(Cause.TEMPORARY_FAILURE)
         line.end()
 
     # Answers
@@ -70,9 +77,22 @@
             return False
         line.open.discard(call)
         line.carried.add(call)
+        line.served = True
         line.write(encode(Kind.ANSWER, call, [(Param.DESCRIPTION, description)]))
         return True
 
+    def expose(self, call: bytes) -> None:
+        """Fail a set-up under a number that a connection with answered sessions uses too.
+
+        Danger: who copies the number of a set-up that is on its way may be read first. Of the two, the one
+        on a connection that was never answered is no viewer's; neither is set up, as nobody can say what
+        the other's answer would be.
+        """
+        for line in self.lines.values():
+            if call in line.open and not line.served:
+                line.condemn(Cause.PROTOCOL_ERROR, f"set-up {call.hex()}: a number taken from another")
+                return
+
     def end(self, viewer: int, call: bytes, cause: Cause, stay_away: int = 0) -> None:
         """Refuse or fail a set-up; `stay_away` in ms."""
         line = self.lines.get(viewer)
@@ -122,7 +142,7 @@
         for line in list(self.lines.values()):
             late = line.partial_since is not None and now - line.partial_since > PATIENCE
             if late or (not line.good and now - line.began > PATIENCE):
-                line.condemn(Cause.TEMPORARY_FAILURE)
+                line.condemn(Cause.TEMPORARY_FAILURE, "no whole message in its time")
 
 
 class _Line(Handler):
@@ -135,6 +155,7 @@
         self.open: set[bytes] = set()  # set-ups that wait for their answer here
         self.carried: set[bytes] = set()  # sessions that were answered here
         self.good = False  # something was understood
+        self.served = False  # a session was answered here, or is known to stand
         self.over = False
         self.began = self.heard = viewers.loop.now()
         self.partial_since: int | None = None
@@ -154,11 +175,12 @@
             return
         now = self.heard = self.viewers.loop.now()
         for message in self._reader.feed(data):
+            self.partial_since = None
             self._message(message)
             if self.over:
                 return
         if self._reader.broken:
-            self.condemn(Cause.PROTOCOL_ERROR)
+            self.condemn(Cause.PROTOCOL_ERROR, "bytes that are no message")
             return
         self.partial_since = (self.partial_since or now) if self._reader.partial else None
         # set-ups go on only now: what was taken back with the same bytes never costs a host anything
@@ -171,14 +193,14 @@
         if kind == Kind.SET_UP:
             self._set_up(message)
         elif message.fault is not None:
-            self.condemn(message.fault)
+            self.condemn(message.fault, "parameters beyond their message")
         elif kind == Kind.RELEASE:
             self._release(message.call)
         elif kind == Kind.TEST:
             self._good()
             self.write(messages.tested(message.call, self.viewers.events.ready()))
         elif kind not in (Kind.HEARD, Kind.PROGRESS):
-            self.condemn(Cause.PROTOCOL_ERROR)
+            self.condemn(Cause.PROTOCOL_ERROR, f"message of type {kind}")
 
     def _good(self) -> None:
         if not self.good:
@@ -188,20 +210,24 @@
     def _set_up(self, message: Message) -> None:
         call = message.call
         if call in self.open:  # two set-ups under one number: one answer would be read for either
-            self.condemn(Cause.PROTOCOL_ERROR)
+            self.condemn(Cause.PROTOCOL_ERROR, f"second set-up {call.hex()}")
             return
         asked = asking.read(message, self.viewers.terms)
-        known = self.viewers.events.stands(call)
-        if isinstance(asked, Asked) and asked.at and known is not None:
+        known = self.viewers.events.stands(call) is not None
+        if isinstance(asked, Asked) and asked.at and known:
             return
-        if isinstance(asked, Cause) or known is not None:
+        if isinstance(asked, Cause) or known:
             cause = asked if isinstance(asked, Cause) else Cause.INVALID_CALL_REFERENCE
             self.write(release(call, cause))
-            self.condemn(Cause.PROTOCOL_ERROR)
+            if known and self.served:
+                self.viewers.expose(call)
+            if not self.served:
+                self.condemn(Cause.PROTOCOL_ERROR, f"set-up {call.hex()}: {cause.name}")
             return
         self._good()
         if asked.at:
             self.carried.add(call)
+            self.served = True
         else:
             self.open.add(call)
         self._fresh[call] = asked
@@ -226,9 +252,14 @@
                 self.viewers.events.left(call)
             self.write(release(call, cause))
 
-    def condemn(self, cause: Cause) -> None:
+    def condemn(self, cause: Cause, why: str) -> None:
         """Fail what is open and close: the peer does not speak the protocol, or not in its time."""
         self.viewers.faults += 1
+        if self.carried:
+            viewers = self.viewers
+            viewers.say(
+                "viewer closed", peer=self.peer, cause=cause.name, why=why, sessions=len(self.carried)
+            )
         self.fail_all(cause)
         self.end()
 
@@ -241,6 +272,8 @@
                 self.stream.close()
 
     def closed(self, reason: Close) -> None:
+        if self.carried and not self.over:
+            self.viewers.say("viewer gone", peer=self.peer, how=reason.value, sessions=len(self.carried))
         self.over, self.stream = True, None
         self.viewers.gone(self)
         waiting, self.open = self.open, set()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -118,7 +118,7 @@
 def test_what_is_taken_back_with_the_same_bytes_reaches_no_host():
     platform = Platform("a")
     end = platform.viewer()
-    call = bytes(8)
+    call = b"12345678"
     end.stream.write(set_up(call) + release(call, Cause.NORMAL_CLEARING))
     platform.run(0.1)
     assert not platform.hosts["a"].set_ups and end.of(call, Kind.HEARD)
@@ -139,6 +139,8 @@
     "hint without end": {"hint": "1e400"},
     "copies below one": {"figures": "home:0;copies:0;top:1"},
     "home with a fraction": {"figures": "home:0.5;copies:1;top:1"},
+    "no figures": {"figures": None},
+    "no copies": {"figures": "home:0;top:1"},
     "figures twice": {"figures": "home:0;home:1"},
     "figures without a colon": {"figures": "home"},
 }
@@ -209,6 +211,35 @@
     assert one_answer(good, call).params[Param.DESCRIPTION] == b"late but good"
 
 
+def test_a_number_taken_from_a_set_up_on_its_way_costs_its_viewers_connection_nothing():
+    platform = Platform("a")
+    good, bad = platform.viewer(), platform.viewer()
+    old = platform.ask(good)
+    platform.run(0.1)
+    call = b"12345678"
+    platform.hosts["a"].script = silent
+    bad.stream.write(set_up(call, description="v=1"))
+    platform.run(0.01)
+    good.stream.write(set_up(call))
+    platform.run(0.1)
+    assert one_answer(good, call).kind == one_answer(bad, call).kind == Kind.RELEASE
+    assert good.closed_by is None and bad.closed_by is not None
+    platform.hosts["a"].node.kill()
+    platform.run(0.5)
+    assert good.of(old, Kind.RELEASE) and not platform.node.calls.by_id
+
+
+def test_a_set_up_out_of_range_among_good_ones_closes_nothing():
+    platform = Platform("a")
+    end = platform.viewer()
+    platform.ask(end)
+    platform.run(0.1)
+    bad = platform.ask(end, service="gold")
+    good = platform.ask(end)
+    platform.run(0.1)
+    assert one_answer(end, bad).kind == Kind.RELEASE and one_answer(end, good).kind == Kind.ANSWER
+
+
 def test_a_new_host_at_the_address_of_one_that_has_gone_is_another_host():
     platform = Platform("a")
     end = platform.viewer()
@@ -271,6 +302,33 @@
     assert one_answer(good, call).kind == Kind.RELEASE
 
 
+def test_connections_that_hold_a_set_up_each_do_not_push_out_one_on_which_sessions_stand():
+    platform = Platform("a", sockets=64)
+    good = platform.viewer()
+    calls = [platform.ask(good) for _ in range(5)]
+    platform.run(0.1)
+    platform.hosts["a"].script = silent
+    for _ in range(60):
+        end = platform.viewer()
+        if end.closed_by is None:
+            platform.ask(end, "paid", ms=2900, figures="home:0;copies:4;top:0")
+            platform.run(0.005)
+    assert good.closed_by is None
+    platform.hosts["a"].node.kill()
+    platform.run(1)
+    assert all(good.of(call, Kind.RELEASE) for call in calls)
+
+
+def test_messages_that_always_come_cut_in_two_are_not_taken_for_one_that_never_ends():
+    platform = Platform("a")
+    end = platform.viewer()
+    data = b"".join(set_up(call.to_bytes(8)) for call in range(1, 31))
+    for at in range(0, len(data), 37):
+        end.stream.write(data[at : at + 37])
+        platform.run(0.1)
+    assert end.closed_by is None and len([m for m in end.read if m.kind == Kind.ANSWER]) == 30
+
+
 def test_codec_gives_the_same_messages_however_the_bytes_are_cut():
     data = set_up(b"12345678") + release(b"87654321", 41, 250) + encode(Kind.HEARD, bytes(8))
     whole = Reader().feed(data)
