--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -304,6 +304,7 @@
 
 def test_connections_that_hold_a_set_up_each_do_not_push_out_one_on_which_sessions_stand():
     platform = Platform("a", sockets=64)
+    platform.node.hosts.limits.connections = 100
     good = platform.viewer()
     calls = [platform.ask(good) for _ in range(5)]
     platform.run(0.1)
