Errors that a request meets everywhere are its own; hosts long gone are forgotten

Checked: the log shows 102 to 262 attempts ended by 'host error', nearly all of set-ups with titles that no host knows, up to five hosts each. Lines: Controller._judge, and _end, which counted them as demand too.

The change, in the module: from its second error on a request is blamed itself, the first host's strike is taken back and it is no demand. Also found on reading for growth: the uplinks' charges were never taken off where no uplink is reported, further attempts were listed where no budget limits them, and hosts that went were kept for ever; all three end now.

Each test fails without its line.

--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -70,7 +70,9 @@
         self.changes: deque[tuple[int, int, float]] = deque()
 
     def charge(self, now: int, ends: int, kb: float) -> None:
-        """Put `kb` (negative: take off) into the slots from now to that of `ends`."""
+        """Put `kb` (negative: take off) into the slots from now to that of `ends`; what is past goes."""
+        while self.changes and self.changes[0][1] < now // SLOT:
+            self.changes.popleft()
         self.changes.append((now, ends // SLOT, kb))
 
     def note(self, seen: int, use: float) -> None:
@@ -126,6 +128,7 @@
     up_since: int | None = None  # first set-up answered after that sign
     sent: deque[int] = field(default_factory=deque)
     shed_at: int = -(10**15)
+    gone_at: int | None = None  # when it was first heard that it is gone
 
 
 @dataclass(slots=True)
@@ -152,6 +155,7 @@
     noted: bool = False
     moved: bool = False  # the gateway asks for it, not a viewer
     over: bool = False  # its final answer is given or no longer owed
+    errors: int = 0  # hosts that answered it with an error
     unsettled: bool = False  # its rung was cut for want of room or not decided here
     since: int = -(10**15)  # when its rung was last decided
 
@@ -227,9 +231,23 @@
                 server.strikes = server.suspect_until = 0
             new = new or entry.cell != server.entry.cell
             server.entry = entry
-        if new:
+        if self._forget(now) or new:
             self._index()
 
+    def _forget(self, now: int) -> bool:
+        """Forget servers gone for so long that nothing known of them counts any more; tell if there were any.
+
+        Danger: where new ones always take the place of old ones, what is kept of the old grows for ever.
+        """
+        for key, server in list(self.servers.items()):
+            if server.entry.state is not ServerState.GONE:
+                server.gone_at = None
+            elif server.gone_at is None:
+                server.gone_at = now
+            elif now - server.gone_at > NOTE_FADES + self.settings.cold and not server.sessions:
+                del self.servers[key]
+        return len(self.servers) < sum(map(len, self.by_cell.values()))
+
     def _index(self) -> None:
         """Sort servers by cell and set told rates: by weight where told, else by the streams of a kind."""
         s = self.settings
@@ -271,7 +289,7 @@
         server, rung = choice
         if not session.attempts or rung != session.rung:
             self.actions.append(api.SetRung(session.request, rung))
-        if session.attempts or session.moved:  # a move sends a viewer's session once more
+        if self.settings.budget and (session.attempts or session.moved):  # a move sends a viewer's once more
             self.resends.append(now)
         if not session.attempts:
             self._seat(session, 1)
@@ -297,7 +315,8 @@
         if session.may_have_run and session.service.effect is not Effect.FREE:
             self.actions.append(api.Fail(session.request))
             return
-        self.broken.append((now, session))
+        if session.errors < 2:
+            self.broken.append((now, session))
         s = self.settings
         advice = min(RETRY_ADVICE, s.max_retry_after) if s.may_advise else 0
         self.actions.append(api.Refuse(session.request, advice))
@@ -305,9 +324,11 @@
     def _attempt_end(self, now: int, event: api.AttemptEnd) -> None:
         self._load(now, event.server, event.load)
         server = self.servers.get(event.server)
-        if server is not None:
-            self._judge(now, server, event)
         session = self.sessions.get(event.request)
+        if session is not None and event.outcome is Outcome.ERROR:
+            session.errors += 1
+        if server is not None and not self._blamed(event, session):
+            self._judge(now, server, event)
         if session is None or session.server != event.server or event.attempt + 1 < session.attempts:
             return
         if server is not None:
@@ -603,6 +624,21 @@
             server.suspect_until = now + min(SUSPECT_MAX, SUSPECT << min(server.strikes, 10))
             server.strikes += 1
 
+    def _blamed(self, event: api.AttemptEnd, session: _Session | None) -> bool:
+        """Tell whether an error is the request's own, as another server gave it one too.
+
+        Danger: requests that no server can use are answered with errors by all that they are sent to, and a
+        few such viewers make whole fleets suspect and look like demand. The first server's strike is taken
+        back. May hurt where many servers err at once: of those that one request met, none is left out.
+        """
+        if session is None or session.errors < 2 or event.outcome is not Outcome.ERROR:
+            return False
+        first = self.servers.get(session.tried[0])
+        if session.errors == 2 and first is not None and first.strikes:
+            first.strikes -= 1
+            first.suspect_until = first.suspect_until if first.strikes else 0
+        return True
+
     def _suspect(self, now: int, server: _Server, session: _Session) -> bool:
         """Tell whether others are to be tried first: after a failure, or while a set-up stays unanswered.
 
--- a/mintmast/signalling/hosts.py
+++ b/mintmast/signalling/hosts.py
@@ -47,7 +47,7 @@
     def noted(self, host: bytes, call: bytes, name: str, figure: str) -> None:
         """Take a note."""
 
-    def dead(self, host: bytes, when: int) -> None:
+    def dead(self, host: bytes, when: int, why: str) -> None:
         """Take it that the host's process was gone at `when`, and what stood there with it."""
 
     def wanted(self, host: bytes) -> bool:
@@ -89,15 +89,18 @@
             if gone:
                 return
             pool = self.pools[host] = _Pool(self, host, address)
-        if pool.address != address:
+        if pool.address != address and address[0]:
             pool.address = address
             pool.close_idle()
         pool.gone = gone
+        for other in self.pools.values():
+            if other.gone and any(e.address == other.address and not e.gone for e in self.pools.values()):
+                other.replaced()
 
     def set_up(self, host: bytes, call: bytes, frame: bytes, until: int) -> None:
         """Send a set-up; one of `started` and `ended` follows."""
         pool = self.pools.get(host)
-        if pool is None or pool.gone and not pool.lines:
+        if pool is None or pool.is_replaced:
             self.loop.call_soon(self.events.ended, host, call, Evidence.NOT_CONNECTED, "")
             return
         now = self.loop.now()
@@ -147,6 +150,7 @@
         self.out: dict[bytes, _Attempt] = {}
         self.cuts: deque[bytes] = deque(maxlen=MOST_CUTS)
         self.misses = 0
+        self.is_replaced = False
 
     # Set-ups
 
@@ -155,7 +159,7 @@
         idle = [line for line in self.lines if line.idle]
         if idle:
             max(idle, key=lambda line: line.heard).take(attempt)
-        elif self.gone or self.hosts.lines >= self.hosts.limits.connections:
+        elif self.hosts.lines >= self.hosts.limits.connections:
             self.finish(attempt, Evidence.NOT_CONNECTED)
         else:
             self.connect().take(attempt)
@@ -221,7 +225,7 @@
         line = self.any_open()
         if line is not None:
             line.write(release(call, Cause.NORMAL_CLEARING))
-        elif not self.gone:
+        elif not self.is_replaced:
             self.cuts.append(call)
 
     # Connections
@@ -238,18 +242,26 @@
             self.hosts.lines -= 1
         if any(each.stream is not None for each in self.lines):
             return
-        if reason is Close.REFUSED or self.gone:
-            self._dead()
+        if reason is Close.REFUSED:
+            self._dead("refused")
         elif not line.was_open:
             self.misses += 1
             if self.misses >= 2:
-                self._dead()
-        if not self.gone and not self.lines and (self.cuts or self.hosts.events.wanted(self.host)):
+                self._dead("unreachable")
+        if not self.is_replaced and not self.lines and (self.cuts or self.hosts.events.wanted(self.host)):
             self.connect()
 
-    def _dead(self) -> None:
+    def replaced(self) -> None:
+        """Take it that another host has the address: what is reached there is no longer this one."""
+        if not self.is_replaced:
+            self.is_replaced = True
+            for line in list(self.lines):
+                line.fail(Close.RESET)
+            self._dead("replaced")
+
+    def _dead(self, why: str) -> None:
         self.cuts.clear()
-        self.hosts.loop.call_soon(self.hosts.events.dead, self.host, self.hosts.loop.now())
+        self.hosts.loop.call_soon(self.hosts.events.dead, self.host, self.hosts.loop.now(), why)
 
     def close_idle(self) -> None:
         """Give back what carries nothing now."""
@@ -271,8 +283,8 @@
             if self.gone or now - idle[-1].used > self.hosts.limits.idle_time // 2:
                 idle[-1].close()
         if wanted and not self.lines:
-            if self.gone:
-                self._dead()
+            if self.is_replaced:
+                self._dead("replaced")
             elif self.hosts.lines < self.hosts.limits.connections:
                 self.connect()
 
--- a/mintmast/signalling/node.py
+++ b/mintmast/signalling/node.py
@@ -288,11 +288,11 @@
         if kind is not None and value is not None:
             self._carry(self.calls.noted(self.loop.now(), call, host, kind, value))
 
-    def dead(self, host: bytes, when: int) -> None:
+    def dead(self, host: bytes, when: int, why: str) -> None:
         """Take it that the host's process was gone at `when`."""
         commands = self.calls.host_dead(self.loop.now(), host, when)
         if commands:
-            self.say("dead", host=host.decode(), sessions=len(commands))
+            self.say("dead", host=host.decode(), why=why, sessions=len(commands))
         self._carry(commands)
 
     def wanted(self, host: bytes) -> bool:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -256,6 +256,21 @@
     assert set(platform.node.hosts.pools) == {b"id-b"}
 
 
+def test_a_host_listed_as_gone_that_still_plays_keeps_its_sessions_over_a_reset():
+    platform = Platform("a")
+    end, host = platform.viewer(), platform.hosts["a"]
+    call = platform.ask(end)
+    platform.run(0.1)
+    platform.node.changelog.event(news(2, entry("a", "Gone")))
+    for each in host.live():
+        each.stream.abort()
+    platform.run(0.5)
+    assert not end.of(call, Kind.RELEASE)
+    host.node.kill()
+    platform.run(0.5)
+    assert end.of(call, Kind.RELEASE) and not platform.node.hosts.pools
+
+
 def test_the_change_log_is_taken_up_where_it_broke_off_and_heard_once():
     platform = Platform("a")
     log = platform.log
