Calls explored with hypothesis; the gateway as a process: signals, bad configurations, what it loads

Need: each rule rests on the table of calls, so it is played with doubled, late and crossed messages, deaths and list changes, with and without leave to call off; nothing may be left standing. The process test sends SIGHUP with a broken and a good file, SIGTERM, and six configurations that cannot be used.

--- a/mintmast/decisions/calls.py
+++ b/mintmast/decisions/calls.py
@@ -379,7 +379,6 @@
         here = self._at.get(call.host)
         if here is not None and here.pop(call.number, None) is not None and not here:
             del self._at[call.host]
-        call.host = b"" if call.stage is Stage.ASKED else call.host
 
     def _forget(self, call: Call) -> None:
         self._off(call)
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,155 @@
+"""The table of calls explored: doubled, late and crossed messages, and what is owed at the end."""
+
+from helpers import T0, S, box, fleet
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mintmast import interface as api
+from mintmast.decisions import calls as c
+from mintmast.decisions.calls import TABLE, Calls, Owed, Seen, Stage, Tell, Wish
+from mintmast.decisions.outcomes import TABLE as OUTCOMES
+from mintmast.decisions.outcomes import Evidence
+from mintmast.interface import NoteKind, Outcome, ServerState
+
+HOSTS = [box(n).server for n in range(4)]
+ENDS = [evidence for evidence in Evidence if OUTCOMES[evidence].outcome is not None]
+
+
+def wish(number, service=1):
+    return Wish(
+        number.to_bytes(8), service, 0, 5, 3 * S, 0, 4, 3, 30 * S, passed=(b"class", b"title", b"v=0")
+    )
+
+
+class World:
+    """What hosts and viewers believe, kept from the commands alone."""
+
+    def __init__(self, may_cancel):
+        self.calls = Calls(fleet(4, may_cancel=may_cancel))
+        self.now, self.number = T0, 0
+        self.paid, self.answered, self.gone, self.ran = {}, {}, set(), set()
+        self.out = {}  # call: host of its attempt
+        self.standing = {}  # call: host, as hosts believe
+
+    def take(self, commands):
+        for command in commands:
+            match command:
+                case c.SendSetUp(call, host, _, _, until, passed):
+                    assert call not in self.out, "two attempts out"
+                    assert call not in self.answered, "sent after its answer"
+                    assert not (self.paid[call] and call in self.ran), "paid set-up sent again"
+                    assert self.now <= until and passed
+                    self.out[call] = host
+                case c.CallOff(call, host):
+                    assert self.out.pop(call) == host
+                case c.Cut(call, host):
+                    self.standing.pop(call, None)
+                    self.out.pop(call, None)
+                case c.Answer(call):
+                    assert call not in self.answered and call not in self.gone
+                    self.answered[call] = "plays"
+                case c.Refuse(call) | c.Fail(call):
+                    assert call not in self.answered and call not in self.gone
+                    refused = isinstance(command, c.Refuse)
+                    assert not (refused and self.paid[call] and call in self.ran), "refused, may have run"
+                    self.answered[call] = "no"
+                case c.Release(call):
+                    assert self.answered[call] == "plays"
+                    self.answered[call] = "over"
+
+    def step(self, kind, pick):
+        self.now += 10_000 + pick % 50_000
+        known = list(self.paid)
+        call = known[pick % len(known)] if known else bytes(8)
+        host = HOSTS[pick // 7 % 4] if pick % 3 == 0 else self.out.get(call, HOSTS[pick % 4])
+        if kind == "ask":
+            self.number += 1
+            new = wish(self.number, pick % 2)
+            self.paid[new.call] = new.service == 0
+            self.take(self.calls.ask(self.now, new, 1))
+        elif kind == "started":
+            if self.out.get(call) == host:
+                self.standing[call] = self.out.pop(call)
+                self.ran.add(call)
+            self.take(self.calls.started(self.now, call, host, b"sdp"))
+        elif kind == "ended":
+            evidence = ENDS[pick % len(ENDS)]
+            if self.out.get(call) == host:
+                del self.out[call]
+                if not OUTCOMES[evidence].never_ran:
+                    self.ran.add(call)
+            self.take(self.calls.ended(self.now, call, host, evidence))
+        elif kind == "left":
+            if call in self.paid and self.answered.get(call) != "no":
+                self.gone.add(call)
+            self.take(self.calls.left(self.now, call))
+        elif kind == "over":
+            if self.standing.get(call) == host:
+                del self.standing[call]
+            outcome = (Outcome.SERVED, Outcome.RESET, Outcome.CANCELLED)[pick % 3]
+            self.take(self.calls.over(self.now, call, host, outcome))
+        elif kind == "dead":
+            self.standing = {k: v for k, v in self.standing.items() if v != host}
+            self.take(self.calls.host_dead(self.now, host))
+        elif kind == "noted":
+            note = list(NoteKind)[pick % 4]
+            self.take(self.calls.noted(self.now, call, host, note, (pick % 30) / 10))
+        elif kind == "list":
+            state = (ServerState.READY, ServerState.DRAINING, ServerState.GONE)[pick % 3]
+            news = api.ServerList(api.ListKind.DELTA, self.now, (box(pick % 4, state),))
+            self.take(self.calls.list(self.now, news))
+
+    def settle(self):
+        """End all that is out or stands, as hosts would in the end."""
+        for _ in range(10):
+            for call, host in list(self.out.items()):
+                del self.out[call]
+                self.now += 1000
+                self.take(self.calls.ended(self.now, call, host, Evidence.FULL))
+        for call, host in list(self.standing.items()):
+            assert call in self.calls.by_id, "left standing"
+            self.take(self.calls.over(self.now, call, host, Outcome.SERVED))
+
+
+KINDS = ["ask", "ask", "started", "started", "ended", "left", "over", "dead", "noted", "list"]
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.booleans(), st.lists(st.tuples(st.sampled_from(KINDS), st.integers(0, 10**6)), max_size=80))
+def test_whatever_comes_in_whatever_order_each_call_has_one_answer_and_nothing_is_left(may_cancel, steps):
+    world = World(may_cancel)
+    for kind, pick in steps:
+        world.step(kind, pick)
+    world.settle()
+    assert set(world.paid) == world.answered.keys() | world.gone
+    assert not world.calls.by_id and not world.calls._by_number and not world.calls._at
+    assert not world.calls.module.sessions
+    assert not any(each.sessions for each in world.calls.module.servers.values())
+
+
+def test_each_row_that_ends_a_call_tells_the_module_that_nothing_more_is_owed():
+    for (stage, seen), step in TABLE.items():
+        assert (step.to is None) == (step.tell is Tell.CLOSED), (stage, seen)
+        if stage is Stage.STANDING:
+            assert step.owed, "the side that does not know yet must hear of it"
+        if seen is Seen.STARTED:
+            assert (Owed.ANSWER in step.owed) != (Owed.CUT in step.owed), "it plays or is cut"
+
+
+def test_a_session_of_before_the_hosts_new_start_is_over_and_one_of_after_it_is_not():
+    calls = Calls(fleet(1))
+    for number in (1, 2):
+        now = T0 + number * S
+        (sent,) = [each for each in calls.ask(now, wish(number), 1) if isinstance(each, c.SendSetUp)]
+        calls.started(now, sent.call, sent.host, b"sdp")
+    commands = calls.host_dead(T0 + 3 * S, HOSTS[0], before=T0 + 3 * S // 2)
+    assert [each.call for each in commands if isinstance(each, c.Release)] == [(1).to_bytes(8)]
+
+
+def test_a_session_found_playing_counts_at_its_host_until_it_is_over():
+    calls = Calls(fleet(2))
+    calls.found(T0, wish(1), 1, HOSTS[1])
+    assert calls.standing_at(HOSTS[1]) and len(calls.module.servers[HOSTS[1]].sessions) == 1
+    commands = calls.over(T0 + S, (1).to_bytes(8), HOSTS[1], Outcome.RESET)
+    assert [type(each) for each in commands] == [c.Release]
+    assert not calls.module.sessions and not calls.standing_at(HOSTS[1])
--- /dev/null
+++ b/tests/test_node_process.py
@@ -0,0 +1,113 @@
+"""The gateway on the platform as a process: what it loads, its signals, bad configurations."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+from platform_world import SETTINGS, entry, news
+
+from mintmast.signalling import messages
+from mintmast.signalling.messages import Kind, Reader, encode
+
+# what belongs to the other ways in and out, and what only costs room
+UNWANTED = (
+    "click asyncio prometheus_client opentelemetry cryptography jwt lxml jsonschema structlog logging".split()
+)
+
+
+def config(path, port, **change):
+    told = {
+        "name": "n0",
+        "listen": f"127.0.0.1:{port}",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256},
+        "changelog": "127.0.0.1:1",
+        "known": {"seq": 1, "results": [news(1, entry("a", addr="127.0.0.1:1"), full=True)]},
+        "settings": SETTINGS,
+    } | change
+    path.write_text(json.dumps(told))
+    return path
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def start(path):
+    command = [sys.executable, "-m", "mintmast", "node", str(path)]
+    return subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+
+
+def until(process, event):
+    for line in process.stdout:
+        said = json.loads(line)
+        if said["event"] == event:
+            return said
+    raise AssertionError(f"ended without {event}: {process.stderr.read()}")
+
+
+def ask(port):
+    with socket.create_connection(("127.0.0.1", port), 10) as sock:
+        sock.sendall(messages.test(bytes(8)))
+        return Reader().feed(sock.recv(100))[0]
+
+
+def test_it_serves_takes_a_new_configuration_refuses_a_bad_one_and_ends_when_told_to(tmp_path):
+    port = free_port()
+    path = config(tmp_path / "config.json", port)
+    process = start(path)
+    try:
+        until(process, "serving")
+        answer = ask(port)
+        assert answer.kind == Kind.TESTED and answer.cause == 1
+        path.write_text("{")
+        process.send_signal(signal.SIGHUP)
+        assert "config.json" in until(process, "reload")["refused"]
+        config(path, port, changelog="127.0.0.1:2")
+        process.send_signal(signal.SIGHUP)
+        assert until(process, "reloaded")["changelog"] == "127.0.0.1:2"
+        process.send_signal(signal.SIGTERM)
+        until(process, "stopping")
+        assert ask(port).cause == 0
+        assert process.wait(30) == 0
+    finally:
+        process.kill()
+
+
+BAD = {
+    "not JSON": ("{", "config.json"),
+    "no settings": ({"settings": None}, "malformed"),
+    "settings that lack a key": ({"settings": SETTINGS | {"familyInfo": {}}}, "levelKb"),
+    "seed not in hex": ({"seed": "zz"}, "zz"),
+    "listen without a port": ({"listen": "127.0.0.1"}, "127.0.0.1"),
+    "sockets that are no number": ({"limits": {"sockets": "many"}}, "sockets"),
+}
+
+
+@pytest.mark.parametrize("what", BAD)
+def test_a_configuration_that_cannot_be_used_is_told_in_one_line(tmp_path, what):
+    change, word = BAD[what]
+    path = tmp_path / "config.json"
+    if isinstance(change, str):
+        path.write_text(change)
+    else:
+        config(path, free_port(), **change)
+    process = start(path)
+    _, error = process.communicate(timeout=30)
+    assert process.returncode == 2 and error.count("\n") == 1 and word in error
+
+
+def test_nothing_is_loaded_that_a_small_machine_has_no_room_for():
+    program = f"import sys, mintmast.signalling.node; print([m for m in {UNWANTED} if m in sys.modules])"
+    done = subprocess.run([sys.executable, "-c", program], capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
+
+
+def test_encoding_a_message_that_is_too_long_is_refused():
+    with pytest.raises(ValueError, match="17"):
+        encode(Kind.SET_UP, bytes(8), [(46, bytes(17_000))])
