Set-ups under way take bounded room; slow readers are broken off; one file a host connection

Need: read for what one peer may take. A viewer's connection could hold 1 MB of unread answers and was read 64 KiB, some 400 set-ups, a turn; set-ups of 16 KiB were held without bound on a machine of 32 MB; a peer that never reads its last answer kept its connection for ever; sessions told to play already were believed at any time, by any viewer.

The tests fail without their lines.

--- a/mintmast/loop/base.py
+++ b/mintmast/loop/base.py
@@ -102,7 +102,9 @@
     def call_soon(self, do: Callable[..., Any], *args: Any) -> Timer:
         """Call `do(*args)` in the next turn."""
 
-    def listen(self, host: str, port: int, accept: Callable[[], Handler], backlog: int = 512) -> Listener:
+    def listen(
+        self, host: str, port: int, accept: Callable[[], Handler], backlog: int = 512, limits: Limits = ...
+    ) -> Listener:
         """Accept connections; `accept` makes the handler of each. Raises OSError."""
 
     def connect(self, host: str, port: int, handler: Handler, limits: Limits = ...) -> Stream:
--- a/mintmast/loop/memory.py
+++ b/mintmast/loop/memory.py
@@ -117,13 +117,20 @@
         self._listeners.clear()
         self._streams.clear()
 
-    def listen(self, host: str, port: int, accept: Callable[[], Handler], backlog: int = 512) -> _Listener:
+    def listen(
+        self,
+        host: str,
+        port: int,
+        accept: Callable[[], Handler],
+        backlog: int = 512,
+        limits: Limits = DEFAULT,
+    ) -> _Listener:
         """Accept connections; the host name is the node's."""
         self._port += 1
         port = port or self._port
         if port in self._listeners:
             raise OSError(f"port {port} of {self.name} is taken")
-        listener = self._listeners[port] = _Listener(self, port, accept)
+        listener = self._listeners[port] = _Listener(self, port, accept, limits)
         return listener
 
     def connect(self, host: str, port: int, handler: Handler, limits: Limits = DEFAULT) -> _End:
@@ -145,7 +152,7 @@
             self.world.at(self.world.time + back, self.do, ours.over, Close.REFUSED)
             return
         self._port += 1
-        theirs = _End(target, listener.accept(), Limits(), (self.name, self._port))
+        theirs = _End(target, listener.accept(), listener.limits, (self.name, self._port))
         target._streams[theirs] = None
         theirs.other, ours.other = ours, theirs
         target.do(theirs.open)
@@ -153,8 +160,8 @@
 
 
 class _Listener:
-    def __init__(self, node: Node, port: int, accept: Callable[[], Handler]) -> None:
-        self._node, self.port, self.accept = node, port, accept
+    def __init__(self, node: Node, port: int, accept: Callable[[], Handler], limits: Limits) -> None:
+        self._node, self.port, self.accept, self.limits = node, port, accept, limits
 
     def close(self) -> None:
         self._node._listeners.pop(self.port, None)
--- a/mintmast/loop/real.py
+++ b/mintmast/loop/real.py
@@ -68,9 +68,16 @@
         """Call `do(*args)` in the next turn."""
         return self._timers.add(0, do, args)
 
-    def listen(self, host: str, port: int, accept: Callable[[], Handler], backlog: int = 512) -> _Listener:
+    def listen(
+        self,
+        host: str,
+        port: int,
+        accept: Callable[[], Handler],
+        backlog: int = 512,
+        limits: Limits = DEFAULT,
+    ) -> _Listener:
         """Accept connections on an address. Raises OSError."""
-        return _Listener(self, host, port, accept, backlog)
+        return _Listener(self, host, port, accept, backlog, limits)
 
     def connect(self, host: str, port: int, handler: Handler, limits: Limits = DEFAULT) -> _Stream:
         """Begin to connect."""
@@ -147,10 +154,16 @@
 
 class _Listener:
     def __init__(
-        self, loop: SelectorLoop, host: str, port: int, accept: Callable[[], Handler], backlog: int
+        self,
+        loop: SelectorLoop,
+        host: str,
+        port: int,
+        accept: Callable[[], Handler],
+        backlog: int,
+        limits: Limits,
     ) -> None:
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self._loop, self._accept = loop, accept
+        self._loop, self._accept, self._limits = loop, accept, limits
         self._sock = socket.socket(family, socket.SOCK_STREAM)
         try:
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -172,7 +185,7 @@
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             handler = self._accept()
-            stream = _Stream(self._loop, sock, handler, Limits(), peer[:2], connecting=False)
+            stream = _Stream(self._loop, sock, handler, self._limits, peer[:2], connecting=False)
             stream.watch()
             self._loop.guard(handler.opened, stream)
 
--- /dev/null
+++ b/mintmast/signalling/hostline.py
@@ -0,0 +1,178 @@
+"""One connection to a media host: it carries one set-up at a time, and what the host says of others."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from mintmast.decisions.outcomes import Evidence
+from mintmast.loop import Close, Handler, Stream, Timer
+from mintmast.signalling.messages import Cause, Kind, Message, Param, Reader, encode, test, tested
+
+if TYPE_CHECKING:
+    from mintmast.signalling.hosts import Pool
+
+# µs without a word after which an idle connection is tested, and after which a test has failed: a machine
+# that is cut off says nothing, and what stood there must be released within 8 s
+QUIET, DEAF = 1_000_000, 1_500_000
+_EVIDENCE = {
+    Cause.NO_CIRCUIT_AVAILABLE: Evidence.FULL,
+    Cause.RESOURCE_UNAVAILABLE: Evidence.HOST_ERROR,
+    Cause.TIMER_EXPIRED: Evidence.MOOT,
+}
+
+
+@dataclass(slots=True)
+class Attempt:
+    """A set-up on its way to a host, to be connected by `connect_by`."""
+
+    call: bytes
+    frame: bytes
+    connect_by: int
+    line: HostLine | None = None
+    timers: tuple[Timer, ...] = ()
+    end: int | None = None  # what its connection will have handed over once it is whole; None: not written
+
+
+class HostLine(Handler):
+    """One connection to a host."""
+
+    def __init__(self, pool: Pool) -> None:
+        self.pool = pool
+        self.raw: Stream | None = None
+        self.stream: Stream | None = None  # once it is connected
+        self.written = 0
+        self.attempt: Attempt | None = None
+        self.was_open = self.over = False
+        now = pool.hosts.loop.now()
+        self.began = self.heard = self.used = now
+        self.tested: int | None = None  # when the test that is out was written
+        self._reader = Reader()
+        self._fault = False
+        self._reason: Close | None = None
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether it can take a set-up at once."""
+        return self.stream is not None and self.attempt is None and not self.over
+
+    def take(self, attempt: Attempt) -> None:
+        """Carry a set-up, once a test has passed."""
+        self.attempt, attempt.line = attempt, self
+        self.used = self.pool.hosts.loop.now()
+        if self.stream is not None:
+            self._test()
+
+    def write(self, data: bytes) -> None:
+        """Write, where it is open."""
+        if self.stream is not None and not self.over:
+            self.written += len(data)
+            self.stream.write(data)
+
+    def _test(self) -> None:
+        if self.tested is None:
+            self.tested = self.pool.hosts.loop.now()
+            self.write(test(bytes(8)))
+
+    def look(self, now: int) -> None:
+        """See to its tests and to the time it has for coming up."""
+        if self.stream is None:
+            if now - self.began >= self.pool.hosts.limits.connect_time:
+                self.fail(Close.UNREACHABLE)
+        elif self.tested is not None:
+            if now - self.tested >= DEAF:
+                self.fail(Close.UNREACHABLE)
+        elif now - self.heard >= QUIET:
+            self._test()
+
+    def fail(self, reason: Close) -> None:
+        """End it from this side for a reason of the other's."""
+        self._reason = reason
+        if self.raw is not None:
+            self.raw.abort()
+
+    def close(self) -> None:
+        """Send what is queued and close."""
+        if not self.over:
+            self.over = True
+            if self.stream is not None:
+                self.stream.close()
+
+    def opened(self, stream: Stream) -> None:
+        """Take it that the connection stands."""
+        self.stream, self.was_open = stream, True
+        self.heard = self.pool.hosts.loop.now()
+        self.pool.opened(self)
+        if self.attempt is not None:
+            self._test()
+
+    def received(self, data: bytes) -> None:
+        """Take bytes; with what cannot be read the connection is of no more use."""
+        self.heard = self.pool.hosts.loop.now()
+        for message in self._reader.feed(data):
+            if message.fault is not None:
+                self._fault = True
+                break
+            self._message(message)
+        if (self._fault or self._reader.broken) and self.stream is not None:
+            self._fault = True
+            self.stream.abort()
+
+    def _message(self, message: Message) -> None:
+        kind, call, attempt = message.kind, message.call, self.attempt
+        events, host = self.pool.hosts.events, self.pool.host
+        if kind == Kind.TESTED:
+            self.tested = None
+            if attempt is not None and attempt.end is None:
+                self.write(attempt.frame)
+                attempt.end = self.written
+        elif kind == Kind.TEST:
+            self.write(tested(call, True))
+        elif kind == Kind.NOTE:
+            events.noted(host, call, message.text(Param.NOTE) or "", message.text(Param.FIGURE) or "")
+        elif kind == Kind.ANSWER:
+            if attempt is not None and attempt.call == call and attempt.end is not None:
+                description = message.params.get(Param.DESCRIPTION)
+                self.attempt = None
+                if description is None:
+                    self.pool.finish(attempt, Evidence.BAD_REPLY)
+                    self.pool.cut(call)
+                else:
+                    self.pool.forget(attempt)
+                    events.started(host, call, description)
+        elif kind == Kind.RELEASE:
+            load = message.text(Param.LOAD) or ""
+            if attempt is not None and attempt.call == call and attempt.end is not None:
+                self.attempt = None
+                self.pool.finish(attempt, _EVIDENCE.get(message.cause, Evidence.CUT), load)
+            else:
+                events.over(host, call, message.cause or 0, load)
+                self.write(encode(Kind.HEARD, call))
+
+    def closed(self, reason: Close) -> None:
+        """Take the end of the connection."""
+        reason, self.over = self._reason or reason, True
+        attempt, self.attempt = self.attempt, None
+        stream, self.stream = self.stream, None
+        pool = self.pool
+        if attempt is not None:
+            self._broken(attempt, stream, reason)
+        pool.ended(self, reason)
+
+    def _broken(self, attempt: Attempt, stream: Stream | None, reason: Close) -> None:
+        """Say what the end of the connection proves of its set-up."""
+        pool = self.pool
+        if attempt.end is None:
+            # nothing was sent: another connection may carry it while there is time to connect
+            if reason is Close.REFUSED:
+                pool.finish(attempt, Evidence.REFUSED)
+            elif self.was_open and pool.hosts.loop.now() < attempt.connect_by:
+                attempt.line = None
+                pool.assign(attempt)
+            else:
+                pool.finish(attempt, Evidence.NOT_CONNECTED)
+        elif stream is not None and stream.handed_over < attempt.end:
+            pool.finish(attempt, Evidence.CUT_UNSENT)
+        else:
+            pool.finish(attempt, Evidence.BAD_REPLY if self._fault else Evidence.CUT)
+            pool.cut(attempt.call)
--- a/mintmast/signalling/hosts.py
+++ b/mintmast/signalling/hosts.py
@@ -12,24 +12,17 @@
 from typing import Protocol
 
 from mintmast.decisions.outcomes import Evidence
-from mintmast.loop import Close, Handler, Limits, Loop, Stream, Timer
-from mintmast.signalling.messages import Cause, Kind, Message, Param, Reader, encode, release, test, tested
+from mintmast.loop import Close, Limits, Loop
+from mintmast.signalling.hostline import Attempt, HostLine
+from mintmast.signalling.messages import Cause, Kind, Param, encode, release
 
 Address = tuple[str, int]
 # µs between looks at connections
 LOOK = 250_000
-# µs without a word after which an idle connection is tested, and after which a test has failed: a machine
-# that is cut off says nothing, and what stood there must be released within 8 s
-QUIET, DEAF = 1_000_000, 1_500_000
 # µs after which an idle connection beyond the first is given back
 SPARE = 4_000_000
 # bytes that may wait for one host; sessions to be released at a host that cannot be reached just now
 LIMITS, MOST_CUTS = Limits(unsent=1 << 18, chunk=1 << 15), 1024
-_EVIDENCE = {
-    Cause.NO_CIRCUIT_AVAILABLE: Evidence.FULL,
-    Cause.RESOURCE_UNAVAILABLE: Evidence.HOST_ERROR,
-    Cause.TIMER_EXPIRED: Evidence.MOOT,
-}
 
 
 class HostEvents(Protocol):
@@ -63,22 +56,12 @@
     connections: int
 
 
-@dataclass(slots=True)
-class _Attempt:
-    call: bytes
-    frame: bytes
-    connect_by: int
-    line: _Line | None = None
-    timers: tuple[Timer, ...] = ()
-    end: int | None = None  # what its connection will have handed over once it is whole; None: not written
-
-
 class MediaHosts:
     """All pools. `events` hears what hosts say and what is seen of them, never before a call returns."""
 
     def __init__(self, loop: Loop, events: HostEvents, limits: HostLimits) -> None:
         self.loop, self.events, self.limits = loop, events, limits
-        self.pools: dict[bytes, _Pool] = {}
+        self.pools: dict[bytes, Pool] = {}
         self.lines = 0
         loop.call_at(loop.now() + LOOK, self._look)
 
@@ -88,11 +71,12 @@
         if pool is None:
             if gone:
                 return
-            pool = self.pools[host] = _Pool(self, host, address)
+            pool = self.pools[host] = Pool(self, host, address)
         if pool.address != address and address[0]:
             pool.address = address
             pool.close_idle()
         pool.gone = gone
+        pool.is_replaced = pool.is_replaced and gone
         for other in self.pools.values():
             if other.gone and any(e.address == other.address and not e.gone for e in self.pools.values()):
                 other.replaced()
@@ -104,7 +88,7 @@
             self.loop.call_soon(self.events.ended, host, call, Evidence.NOT_CONNECTED, "")
             return
         now = self.loop.now()
-        attempt = _Attempt(call, frame, min(until, now + self.limits.connect_time))
+        attempt = Attempt(call, frame, min(until, now + self.limits.connect_time))
         attempt.timers = (
             self.loop.call_at(until, pool.late, attempt),
             self.loop.call_at(attempt.connect_by, pool.unconnected, attempt),
@@ -140,21 +124,21 @@
                 del self.pools[host]
 
 
-class _Pool:
-    """All connections to one host."""
+class Pool:
+    """All connections to one host, keyed by its id: another host may come to its address."""
 
     def __init__(self, hosts: MediaHosts, host: bytes, address: Address) -> None:
         self.hosts, self.host, self.address = hosts, host, address
         self.gone = False
-        self.lines: list[_Line] = []
-        self.out: dict[bytes, _Attempt] = {}
+        self.lines: list[HostLine] = []
+        self.out: dict[bytes, Attempt] = {}
         self.cuts: deque[bytes] = deque(maxlen=MOST_CUTS)
         self.misses = 0
         self.is_replaced = False
 
     # Set-ups
 
-    def assign(self, attempt: _Attempt) -> None:
+    def assign(self, attempt: Attempt) -> None:
         """Put a set-up on an idle connection, the one last heard, or on a new one."""
         idle = [line for line in self.lines if line.idle]
         if idle:
@@ -164,14 +148,15 @@
         else:
             self.connect().take(attempt)
 
-    def connect(self) -> _Line:
-        line = _Line(self)
+    def connect(self) -> HostLine:
+        """Begin a new connection."""
+        line = HostLine(self)
         self.lines.append(line)
         self.hosts.lines += 1
         line.raw = self.hosts.loop.connect(*self.address, line, LIMITS)
         return line
 
-    def unconnected(self, attempt: _Attempt) -> None:
+    def unconnected(self, attempt: Attempt) -> None:
         """End an attempt that found no connection that works in the time for it, and that connection."""
         line = attempt.line
         if attempt.end is None:
@@ -180,16 +165,16 @@
                 line.attempt = None
                 line.fail(Close.UNREACHABLE)
 
-    def late(self, attempt: _Attempt) -> None:
+    def late(self, attempt: Attempt) -> None:
         """Give up an attempt whose time has run out."""
         sent = attempt.end is not None
         self.drop(attempt)
         self._tell(attempt, Evidence.SILENT if sent else Evidence.LATE_UNSENT)
 
-    def drop(self, attempt: _Attempt) -> None:
+    def drop(self, attempt: Attempt) -> None:
         """Forget an attempt; the host hears that it is given up where it may have heard of it."""
         line = attempt.line
-        self._forget(attempt)
+        self.forget(attempt)
         if line is None:
             return
         if attempt.end is None:
@@ -201,27 +186,29 @@
         line.close()
         self.cut(attempt.call)
 
-    def finish(self, attempt: _Attempt, evidence: Evidence, load: str = "") -> None:
+    def finish(self, attempt: Attempt, evidence: Evidence, load: str = "") -> None:
         """Tell the end of an attempt."""
-        self._forget(attempt)
+        self.forget(attempt)
         self._tell(attempt, evidence, load)
 
-    def _forget(self, attempt: _Attempt) -> None:
+    def forget(self, attempt: Attempt) -> None:
+        """Drop an attempt and its timers; nothing is told."""
         self.out.pop(attempt.call, None)
         for timer in attempt.timers:
             timer.cancel()
 
-    def _tell(self, attempt: _Attempt, evidence: Evidence, load: str = "") -> None:
+    def _tell(self, attempt: Attempt, evidence: Evidence, load: str = "") -> None:
         self.hosts.loop.call_soon(self.hosts.events.ended, self.host, attempt.call, evidence, load)
 
     # Cuts
 
-    def any_open(self) -> _Line | None:
+    def any_open(self) -> HostLine | None:
         """Give an open connection, the one last heard."""
         lines = [line for line in self.lines if line.stream is not None and not line.over]
         return max(lines, key=lambda line: line.heard) if lines else None
 
     def cut(self, call: bytes) -> None:
+        """Release what may stand there, now or with the next connection."""
         line = self.any_open()
         if line is not None:
             line.write(release(call, Cause.NORMAL_CLEARING))
@@ -230,12 +217,13 @@
 
     # Connections
 
-    def opened(self, line: _Line) -> None:
+    def opened(self, line: HostLine) -> None:
+        """Take a new connection, and send what waited for one."""
         self.misses = 0
         while self.cuts:
             line.write(release(self.cuts.popleft(), Cause.NORMAL_CLEARING))
 
-    def ended(self, line: _Line, reason: Close) -> None:
+    def ended(self, line: HostLine, reason: Close) -> None:
         """Take the end of a connection; without any left, and none to be had, the process is gone."""
         if line in self.lines:
             self.lines.remove(line)
@@ -287,144 +275,3 @@
                 self._dead("replaced")
             elif self.hosts.lines < self.hosts.limits.connections:
                 self.connect()
-
-
-class _Line(Handler):
-    """One connection to a host."""
-
-    def __init__(self, pool: _Pool) -> None:
-        self.pool = pool
-        self.raw: Stream | None = None
-        self.stream: Stream | None = None  # once it is connected
-        self.written = 0
-        self.attempt: _Attempt | None = None
-        self.was_open = self.over = False
-        now = pool.hosts.loop.now()
-        self.began = self.heard = self.used = now
-        self.tested: int | None = None  # when the test that is out was written
-        self._reader = Reader()
-        self._fault = False
-        self._reason: Close | None = None
-
-    @property
-    def idle(self) -> bool:
-        """Tell whether it can take a set-up at once."""
-        return self.stream is not None and self.attempt is None and not self.over
-
-    def take(self, attempt: _Attempt) -> None:
-        """Carry a set-up, once a test has passed."""
-        self.attempt, attempt.line = attempt, self
-        self.used = self.pool.hosts.loop.now()
-        if self.stream is not None:
-            self._test()
-
-    def write(self, data: bytes) -> None:
-        """Write, where it is open."""
-        if self.stream is not None and not self.over:
-            self.written += len(data)
-            self.stream.write(data)
-
-    def _test(self) -> None:
-        if self.tested is None:
-            self.tested = self.pool.hosts.loop.now()
-            self.write(test(bytes(8)))
-
-    def look(self, now: int) -> None:
-        """See to its tests and to the time it has for coming up."""
-        if self.stream is None:
-            if now - self.began >= self.pool.hosts.limits.connect_time:
-                self.fail(Close.UNREACHABLE)
-        elif self.tested is not None:
-            if now - self.tested >= DEAF:
-                self.fail(Close.UNREACHABLE)
-        elif now - self.heard >= QUIET:
-            self._test()
-
-    def fail(self, reason: Close) -> None:
-        """End it from this side for a reason of the other's."""
-        self._reason = reason
-        if self.raw is not None:
-            self.raw.abort()
-
-    def close(self) -> None:
-        """Send what is queued and close."""
-        if not self.over:
-            self.over = True
-            if self.stream is not None:
-                self.stream.close()
-
-    def opened(self, stream: Stream) -> None:
-        self.stream, self.was_open = stream, True
-        self.heard = self.pool.hosts.loop.now()
-        self.pool.opened(self)
-        if self.attempt is not None:
-            self._test()
-
-    def received(self, data: bytes) -> None:
-        self.heard = self.pool.hosts.loop.now()
-        for message in self._reader.feed(data):
-            if message.fault is not None:
-                self._fault = True
-                break
-            self._message(message)
-        if (self._fault or self._reader.broken) and self.stream is not None:
-            self._fault = True
-            self.stream.abort()
-
-    def _message(self, message: Message) -> None:
-        kind, call, attempt = message.kind, message.call, self.attempt
-        events, host = self.pool.hosts.events, self.pool.host
-        if kind == Kind.TESTED:
-            self.tested = None
-            if attempt is not None and attempt.end is None:
-                self.write(attempt.frame)
-                attempt.end = self.written
-        elif kind == Kind.TEST:
-            self.write(tested(call, True))
-        elif kind == Kind.NOTE:
-            events.noted(host, call, message.text(Param.NOTE) or "", message.text(Param.FIGURE) or "")
-        elif kind == Kind.ANSWER:
-            if attempt is not None and attempt.call == call and attempt.end is not None:
-                description = message.params.get(Param.DESCRIPTION)
-                self.attempt = None
-                if description is None:
-                    self.pool.finish(attempt, Evidence.BAD_REPLY)
-                    self.pool.cut(call)
-                else:
-                    self.pool._forget(attempt)
-                    events.started(host, call, description)
-        elif kind == Kind.RELEASE:
-            load = message.text(Param.LOAD) or ""
-            if attempt is not None and attempt.call == call and attempt.end is not None:
-                self.attempt = None
-                self.pool.finish(attempt, _EVIDENCE.get(message.cause, Evidence.CUT), load)
-            else:
-                events.over(host, call, message.cause or 0, load)
-                self.write(encode(Kind.HEARD, call))
-
-    def closed(self, reason: Close) -> None:
-        reason, self.over = self._reason or reason, True
-        attempt, self.attempt = self.attempt, None
-        stream, self.stream = self.stream, None
-        pool = self.pool
-        if attempt is not None:
-            self._broken(attempt, stream, reason)
-        pool.ended(self, reason)
-
-    def _broken(self, attempt: _Attempt, stream: Stream | None, reason: Close) -> None:
-        """Say what the end of the connection proves of its set-up."""
-        pool = self.pool
-        if attempt.end is None:
-            # nothing was sent: another connection may carry it while there is time to connect
-            if reason is Close.REFUSED:
-                pool.finish(attempt, Evidence.REFUSED)
-            elif self.was_open and pool.hosts.loop.now() < attempt.connect_by:
-                attempt.line = None
-                pool.assign(attempt)
-            else:
-                pool.finish(attempt, Evidence.NOT_CONNECTED)
-        elif stream is not None and stream.handed_over < attempt.end:
-            pool.finish(attempt, Evidence.CUT_UNSENT)
-        else:
-            pool.finish(attempt, Evidence.BAD_REPLY if self._fault else Evidence.CUT)
-            pool.cut(attempt.call)
--- a/mintmast/signalling/node.py
+++ b/mintmast/signalling/node.py
@@ -23,7 +23,7 @@
 from mintmast.signalling.changelog import ChangeLog
 from mintmast.signalling.hosts import HostLimits, MediaHosts
 from mintmast.signalling.messages import Cause, Kind, Param, encode, release
-from mintmast.signalling.viewers import Viewers
+from mintmast.signalling.viewers import LIMITS, Viewers
 from mintmast.telemetry.lines import Say, line_writer
 
 Address = tuple[str, int]
@@ -44,6 +44,10 @@
 # part of the descriptors for viewers: their own third, and as much for peers that only hold them; and how
 # many are for the listener, the selector, the change log and what the interpreter needs
 VIEWERS_PART, OWN_SOCKETS = 0.5, 24
+# part of the memory for set-ups under way: the program itself takes 11 MB, the least limit is 32
+SET_UPS_PART = 0.25
+# µs after the first passed test in which sessions may be told that play already: a start's come at once
+FOUND_WITHIN = 10_000_000
 
 
 class ConfigError(Exception):
@@ -52,6 +56,7 @@
 
 class _Limits(msgspec.Struct):
     sockets: int
+    memory_mb: float = 32
 
 
 class _Known(msgspec.Struct, frozen=True):
@@ -143,11 +148,13 @@
         # what the platform tells as Unix time is put on the loop's clock by one difference for all
         self._unix = int(loop.wall() * 1_000_000) - loop.now()
         self._entries: dict[bytes, api.ListEntry] = {}
+        self._found_until: int | None = None  # None until a test has passed
         self.stopping = False
         self.on_stopped: Callable[[], None] = lambda: None
         viewers = int(config.limits.sockets * VIEWERS_PART)
         hosts = max(1, config.limits.sockets - viewers - OWN_SOCKETS)
         caps = names.caps
+        room = int(config.limits.memory_mb * (1 << 20) * SET_UPS_PART)
         self.hosts = MediaHosts(loop, self, HostLimits(caps.connectTimeout, caps.idleClose, hosts))
         terms = Terms(
             {each.name: place for place, each in enumerate(names.services)},
@@ -155,11 +162,11 @@
             {each.name: place for place, each in enumerate(names.accounts)},
             settings.cells,
         )
-        self.viewers = Viewers(loop, self, terms, viewers, say)
+        self.viewers = Viewers(loop, self, terms, viewers, room, say)
         self._carry(self.calls.start(loop.now()))
         self.changelog = ChangeLog(loop, address_of(config.changelog), 0, self._news, say)
         self._known(config)
-        self._listener = loop.listen(*address_of(config.listen), self.viewers.accept)
+        self._listener = loop.listen(*address_of(config.listen), self.viewers.accept, limits=LIMITS)
 
     # Configuration and signals
 
@@ -241,7 +248,7 @@
         now = self.loop.now()
         if not asked.at:
             self._carry(self.calls.ask(now, asked.wish, viewer))
-        elif asked.at in self._entries:
+        elif asked.at in self._entries and now <= (self._found_until or now):
             self._carry(self.calls.found(now, asked.wish, viewer, asked.at))
         else:
             self.viewers.over(viewer, asked.wish.call, release(asked.wish.call, Cause.TEMPORARY_FAILURE))
@@ -258,7 +265,10 @@
 
     def ready(self) -> bool:
         """Tell whether set-ups are welcome."""
-        return not self.stopping and bool(self._entries)
+        ready = not self.stopping and bool(self._entries)
+        if ready and self._found_until is None:
+            self._found_until = self.loop.now() + FOUND_WITHIN
+        return ready
 
     # What hosts say
 
--- a/mintmast/signalling/viewers.py
+++ b/mintmast/signalling/viewers.py
@@ -5,7 +5,7 @@
 from collections import deque
 from typing import Protocol
 
-from mintmast.loop import Close, Handler, Loop, Stream
+from mintmast.loop import Close, Handler, Limits, Loop, Stream
 from mintmast.signalling import asking, messages
 from mintmast.signalling.asking import Asked, Terms
 from mintmast.signalling.messages import Cause, Kind, Message, Param, Reader, encode, release
@@ -16,6 +16,12 @@
 # µs that a connection has for its first message, and a message for its last byte: such peers are owed a
 # close within 3 s
 PATIENCE = 2_000_000
+# bytes that a set-up under way takes here and in the module, beside what it carries; and the part of the room
+# for all that one connection may take
+SET_UP_BYTES, ONE_PART = 4096, 0.5
+# bytes that may wait for a viewer, and that are read from one at a time, so that a flood on one connection
+# does not hold up the others
+LIMITS = Limits(unsent=1 << 17, chunk=1 << 13)
 # releases that wait for a connection of their viewer's side, and how long (µs): then their time is over
 MOST_OWED, OWED_FOR = 1024, 8_000_000
 
@@ -37,10 +43,13 @@
 
 
 class Viewers:
-    """All connections of viewers; `most` bounds them."""
+    """All connections of viewers: at most `most`, their set-ups under way in at most `room` bytes."""
 
-    def __init__(self, loop: Loop, events: ViewerEvents, terms: Terms, most: int, say: Say) -> None:
-        self.loop, self.events, self.terms, self.most, self.say = loop, events, terms, most, say
+    def __init__(
+        self, loop: Loop, events: ViewerEvents, terms: Terms, most: int, room: int, say: Say
+    ) -> None:
+        self.loop, self.events, self.terms, self.say = loop, events, terms, say
+        self.most, self.room, self.held = most, room, 0
         self.lines: dict[int, _Line] = {}
         self._count = 0
         self._peers: dict[bytes, str] = {}  # of sessions whose connection is gone: the viewer's side
@@ -62,7 +71,10 @@
         Danger: peers that hold hundreds of connections, each with a set-up open, would push out one on
         which sessions stand and that has no set-up open just now; nobody could be told of their ends.
         """
-        line = min(self.lines.values(), key=lambda e: (len(e.carried), len(e.open), e.good, e.heard))
+        lines = [line for line in self.lines.values() if not line.over]
+        if not lines:
+            return
+        line = min(lines, key=lambda e: (len(e.carried), len(e.open), e.good, e.heard))
         if line.carried:
             self.say("viewer pushed out", peer=line.peer, open=len(line.open), sessions=len(line.carried))
         line.fail_all(Cause.TEMPORARY_FAILURE)
@@ -73,9 +85,8 @@
     def answer(self, viewer: int, call: bytes, description: bytes) -> bool:
         """Pass on a host's answer; False where the viewer's connection is gone."""
         line = self.lines.get(viewer)
-        if line is None or call not in line.open:
+        if line is None or not line.shut(call):
             return False
-        line.open.discard(call)
         line.carried.add(call)
         line.served = True
         line.write(encode(Kind.ANSWER, call, [(Param.DESCRIPTION, description)]))
@@ -96,8 +107,7 @@
     def end(self, viewer: int, call: bytes, cause: Cause, stay_away: int = 0) -> None:
         """Refuse or fail a set-up; `stay_away` in ms."""
         line = self.lines.get(viewer)
-        if line is not None and call in line.open:
-            line.open.discard(call)
+        if line is not None and line.shut(call):
             line.write(release(call, cause, stay_away))
 
     def over(self, viewer: int, call: bytes, frame: bytes) -> None:
@@ -140,6 +150,9 @@
         now = self.loop.now()
         self.loop.call_at(now + LOOK, self._look)
         for line in list(self.lines.values()):
+            if line.over:
+                line.part(now)
+                continue
             late = line.partial_since is not None and now - line.partial_since > PATIENCE
             if late or (not line.good and now - line.began > PATIENCE):
                 line.condemn(Cause.TEMPORARY_FAILURE, "no whole message in its time")
@@ -152,7 +165,9 @@
         self.viewers, self.number = viewers, number
         self.stream: Stream | None = None
         self.peer = ""
-        self.open: set[bytes] = set()  # set-ups that wait for their answer here
+        self.open: dict[bytes, int] = {}  # set-ups that wait for their answer here, with the bytes they take
+        self.held = 0
+        self.ended = 0
         self.carried: set[bytes] = set()  # sessions that were answered here
         self.good = False  # something was understood
         self.served = False  # a session was answered here, or is known to stand
@@ -228,15 +243,37 @@
         if asked.at:
             self.carried.add(call)
             self.served = True
-        else:
-            self.open.add(call)
+        elif not self._admit(asked):
+            self.write(release(call, Cause.SWITCHING_EQUIPMENT_CONGESTION))
+            return
         self._fresh[call] = asked
 
+    def _admit(self, asked: Asked) -> bool:
+        """Take room for a set-up; False where there is none, and it never leaves.
+
+        Danger: set-ups of 16 KiB come faster than they are answered, and the machine has 32 MB.
+        """
+        viewers, size = self.viewers, SET_UP_BYTES + sum(map(len, asked.wish.passed))
+        if viewers.held + size > viewers.room or self.held + size > viewers.room * ONE_PART:
+            return False
+        self.open[asked.wish.call] = size
+        self.held += size
+        viewers.held += size
+        return True
+
+    def shut(self, call: bytes) -> bool:
+        """Take it that a set-up waits no more; False where it did not wait here."""
+        size = self.open.pop(call, None)
+        if size is None:
+            return False
+        self.held -= size
+        self.viewers.held -= size
+        return True
+
     def _release(self, call: bytes) -> None:
         if self._fresh.pop(call, None) is not None:
-            self.open.discard(call)
-        elif call in self.open:
-            self.open.discard(call)
+            self.shut(call)
+        elif self.shut(call):
             self.viewers.events.left(call)
         elif self.viewers.events.stands(call):
             self._good()
@@ -246,11 +283,16 @@
 
     def fail_all(self, cause: Cause) -> None:
         """Answer what is open here, as nothing more can be believed of it."""
-        waiting, self.open = self.open, set()
+        for call in self._leave():
+            self.write(release(call, cause))
+
+    def _leave(self) -> list[bytes]:
+        waiting = list(self.open)
         for call in waiting:
+            self.shut(call)
             if self._fresh.pop(call, None) is None:
                 self.viewers.events.left(call)
-            self.write(release(call, cause))
+        return waiting
 
     def condemn(self, cause: Cause, why: str) -> None:
         """Fail what is open and close: the peer does not speak the protocol, or not in its time."""
@@ -266,17 +308,19 @@
     def end(self) -> None:
         """Read no more, send what is queued, close."""
         if not self.over:
-            self.over = True
+            self.over, self.ended = True, self.viewers.loop.now()
             if self.stream is not None:
                 self.stream.pause()
                 self.stream.close()
 
+    def part(self, now: int) -> None:
+        """Break off where the peer does not take what is left for it."""
+        if self.stream is not None and now - self.ended > PATIENCE:
+            self.stream.abort()
+
     def closed(self, reason: Close) -> None:
         if self.carried and not self.over:
             self.viewers.say("viewer gone", peer=self.peer, how=reason.value, sessions=len(self.carried))
         self.over, self.stream = True, None
         self.viewers.gone(self)
-        waiting, self.open = self.open, set()
-        for call in waiting:
-            if self._fresh.pop(call, None) is None:
-                self.viewers.events.left(call)
+        self._leave()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,7 +1,7 @@
 """The gateway on the platform, whole, in memory: what passed on the connections is what is checked."""
 
 import pytest
-from platform_world import MS, Cause, Kind, Param, Platform, entry, news, refuse, set_up, silent
+from platform_world import MS, Cause, Kind, Param, Platform, entry, news, play, refuse, set_up, silent
 
 from mintmast.signalling.messages import Reader, encode, release
 
@@ -240,6 +240,51 @@
     assert one_answer(end, bad).kind == Kind.RELEASE and one_answer(end, good).kind == Kind.ANSWER
 
 
+def test_a_flood_of_long_set_ups_takes_no_more_than_its_room_and_others_are_served():
+    platform = Platform("a", script=silent)
+    flood, viewers = platform.viewer(), platform.node.viewers
+    viewers.room = 100_000
+    least = {"figures": "home:0;copies:4;top:0", "description": "x" * 3000}
+    calls = [platform.ask(flood, "paid", ms=2900, **least) for _ in range(40)]
+    platform.run(0.5)
+    assert 0 < viewers.held == sum(line.held for line in viewers.lines.values()) <= viewers.room / 2
+    assert {one_answer(flood, call).cause for call in calls[-30:]} == {Cause.SWITCHING_EQUIPMENT_CONGESTION}
+    assert len(platform.hosts["a"].set_ups) < 10
+    platform.hosts["a"].script = play
+    other = platform.viewer()
+    call = platform.ask(other, figures="home:0;copies:4;top:0")
+    platform.run(0.1)
+    assert one_answer(other, call).kind == Kind.ANSWER
+    platform.run(4)
+    assert not viewers.held and len({one_answer(flood, call).cause for call in calls}) > 1
+
+
+def test_sessions_told_to_play_already_are_taken_at_a_start_and_not_later():
+    platform = Platform("a")
+    end = platform.viewer()
+    end.stream.write(encode(Kind.TEST, bytes(8), [(Param.CAUSE, b"\0")]))
+    early, late, lost = b"early678", b"late5678", b"lost5678"
+    end.stream.write(set_up(early, figures="home:0;copies:4;top:2;at:id-a", patience=None, description=None))
+    end.stream.write(set_up(lost, figures="home:0;copies:4;top:2;at:id-z", patience=None, description=None))
+    platform.run(0.1)
+    assert not end.of(early) and platform.node.calls.standing_at(b"id-a")
+    assert one_answer(end, lost).kind == Kind.RELEASE
+    platform.run(11)
+    end.stream.write(set_up(late, figures="home:0;copies:4;top:2;at:id-a", patience=None, description=None))
+    platform.run(0.1)
+    assert one_answer(end, late).kind == Kind.RELEASE and len(platform.node.calls.by_id) == 1
+
+
+def test_a_peer_that_takes_nothing_of_its_answer_is_broken_off():
+    platform = Platform("a")
+    end = platform.viewer()
+    line = next(iter(platform.node.viewers.lines.values()))
+    line.stream.close = lambda: None
+    platform.ask(end, service="gold")
+    platform.run(3)
+    assert not platform.node.viewers.lines
+
+
 def test_a_new_host_at_the_address_of_one_that_has_gone_is_another_host():
     platform = Platform("a")
     end = platform.viewer()
