--- a/mintmast/cli/__init__.py
+++ b/mintmast/cli/__init__.py
@@ -42,6 +42,15 @@
     sys.exit(run(config))
 
 
+@main.command()
+@click.argument("config", envvar="NODE_CONFIG", type=click.Path())
+def node(config: str) -> None:
+    """Run the gateway that speaks the platform's set-up messages, with the configuration in CONFIG."""
+    from mintmast.signalling.node import run
+
+    sys.exit(run(config))
+
+
 @main.group()
 def config() -> None:
     """Look at and check settings."""
--- a/mintmast/decisions/calls.py
+++ b/mintmast/decisions/calls.py
@@ -231,16 +231,17 @@
 
     # What viewers do
 
-    def ask(self, now: int, wish: Wish, viewer: int) -> list[Command]:
-        """Take a set-up under an id that is not in use."""
-        call = self._new(now, wish, viewer)
+    def ask(self, now: int, wish: Wish, viewer: int, since: int | None = None) -> list[Command]:
+        """Take a set-up under an id that is not in use; its budget counts from `since`, or from now."""
+        spent = now - since if since is not None else 0
+        call = self._new(now - spent, wish, viewer)
         call.passed = wish.passed
         request = api.SessionRequest(
             call.number,
             wish.service,
             wish.tenant,
             wish.title,
-            wish.budget,
+            wish.budget - spent,
             wish.home,
             wish.copies,
             wish.best,
--- a/mintmast/signalling/changelog.py
+++ b/mintmast/signalling/changelog.py
@@ -37,8 +37,8 @@
         self._client = HttpClient(loop)
         self._call: Call | None = None
         self._reader = EventReader(self._event, MOST_EVENT)
-        self._fails = 0
-        self._heard = 0
+        self._fails = self._heard = 0
+        self._gap: int | None = None
         self._timer: Timer | None = loop.call_soon(self._ask)
 
     def move(self, address: Address) -> None:
@@ -60,7 +60,17 @@
 
     def _event(self, kind: str, fields: dict[str, Any]) -> None:
         self._fails = 0
-        self.event(fields)
+        seq = fields.get("seq")
+        if isinstance(seq, int) and seq > self.seq + 1 and self._gap != self.seq:
+            # something was skipped: ask for it, once; where it does not come, what there is counts
+            self._gap = self.seq
+            self._say("changelog", state="gap", seq=self.seq, told=seq)
+            call, self._call = self._call, None
+            if call is not None:
+                call.cancel()
+            self._wait(AGAIN, self._ask)
+        elif self._call is not None:
+            self.event(fields)
 
     def _ask(self) -> None:
         self._reader = EventReader(self._event, MOST_EVENT)
--- a/mintmast/signalling/node.py
+++ b/mintmast/signalling/node.py
@@ -24,7 +24,7 @@
 from mintmast.signalling.hosts import HostLimits, MediaHosts
 from mintmast.signalling.messages import Cause, Kind, Param, encode, release
 from mintmast.signalling.viewers import LIMITS, Viewers
-from mintmast.telemetry.lines import Say, line_writer
+from mintmast.telemetry.lines import MOST_LINES, Say, line_writer
 
 Address = tuple[str, int]
 _NOTES = {
@@ -243,11 +243,11 @@
 
     # What viewers do
 
-    def asked(self, viewer: int, asked: Asked) -> None:
-        """Take a set-up."""
+    def asked(self, viewer: int, asked: Asked, since: int) -> None:
+        """Take a set-up that came in at `since`."""
         now = self.loop.now()
         if not asked.at:
-            self._carry(self.calls.ask(now, asked.wish, viewer))
+            self._carry(self.calls.ask(now, asked.wish, viewer, since))
         elif asked.at in self._entries and now <= (self._found_until or now):
             self._carry(self.calls.found(now, asked.wish, viewer, asked.at))
         else:
@@ -373,7 +373,7 @@
 
 def run(path: str) -> int:
     """Run until SIGTERM has done its work. Gives the exit code: 2 for a bad configuration."""
-    say = line_writer(sys.stdout, time.time, gateway=os.environ.get("NODE_NAME", ""))
+    say = line_writer(sys.stderr, time.time, MOST_LINES, gateway=os.environ.get("NODE_NAME", ""))
     loop = SelectorLoop(lambda text: say("error", text=text))
     try:
         node = Node(loop, read_config(path), say)
--- a/mintmast/signalling/viewers.py
+++ b/mintmast/signalling/viewers.py
@@ -29,8 +29,8 @@
 class ViewerEvents(Protocol):
     """What viewers do."""
 
-    def asked(self, viewer: int, asked: Asked) -> None:
-        """Take a set-up."""
+    def asked(self, viewer: int, asked: Asked, since: int) -> None:
+        """Take a set-up that came in at `since`; its time counts from then."""
 
     def left(self, call: bytes) -> None:
         """Take it that nobody waits for the call any more."""
@@ -59,26 +59,23 @@
 
     def accept(self) -> Handler:
         """Make the handler of a new connection."""
-        if len(self.lines) >= self.most:
-            self._make_room()
         self._count += 1
-        line = self.lines[self._count] = _Line(self, self._count)
+        line = _Line(self, self._count)
+        line.over = len(self.lines) >= self.most and not self._make_room()
+        self.lines[self._count] = line
         return line
 
-    def _make_room(self) -> None:
-        """Close the connection that carries least and has been quiet for longest.
+    def _make_room(self) -> bool:
+        """Close the connection that has been quiet for longest of those that carry nothing; False: none does.
 
         Danger: peers that hold hundreds of connections, each with a set-up open, would push out one on
         which sessions stand and that has no set-up open just now; nobody could be told of their ends.
         """
-        lines = [line for line in self.lines.values() if not line.over]
+        lines = [e for e in self.lines.values() if not (e.over or e.open or e.carried)]
         if not lines:
-            return
-        line = min(lines, key=lambda e: (len(e.carried), len(e.open), e.good, e.heard))
-        if line.carried:
-            self.say("viewer pushed out", peer=line.peer, open=len(line.open), sessions=len(line.carried))
-        line.fail_all(Cause.TEMPORARY_FAILURE)
-        line.end()
+            return False
+        min(lines, key=lambda e: (e.good, e.heard)).end()
+        return True
 
     # Answers
 
@@ -184,6 +181,8 @@
 
     def opened(self, stream: Stream) -> None:
         self.stream, self.peer = stream, stream.peer[0]
+        if self.over:  # there was no room for it
+            stream.abort()
 
     def received(self, data: bytes) -> None:
         if self.over:
@@ -201,7 +200,7 @@
         # set-ups go on only now: what was taken back with the same bytes never costs a host anything
         fresh, self._fresh = self._fresh, {}
         for asked in fresh.values():
-            self.viewers.events.asked(self.number, asked)
+            self.viewers.events.asked(self.number, asked, now)
 
     def _message(self, message: Message) -> None:
         kind = message.kind
--- a/mintmast/telemetry/lines.py
+++ b/mintmast/telemetry/lines.py
@@ -12,6 +12,8 @@
 import msgspec
 
 Say = Callable[..., None]
+# lines a second beyond which they are only counted: a flood of bad peers must not become one of lines
+MOST_LINES = 200
 
 
 def open_log(path: str) -> IO[str]:
@@ -19,12 +21,26 @@
     return sys.stdout if path == "-" else open(path, "a", buffering=1, encoding="utf-8")
 
 
-def line_writer(sink: IO[str], wall: Callable[[], float], **bound: Any) -> Say:
-    """Give the function that writes a line: JSON of what is bound, the fields, the event and its time."""
+def line_writer(sink: IO[str], wall: Callable[[], float], most: int = 0, **bound: Any) -> Say:
+    """Give the function that writes a line: JSON of what is bound, the fields, the event and its time.
+
+    With `most`, no more lines a second are written; `left_out` tells how many were not, in the next one.
+    """
     encoder = msgspec.json.Encoder(enc_hook=str)
+    second = written = left_out = 0
 
     def say(event: str, **fields: Any) -> None:
-        line = {**bound, **fields, "event": event, "at": round(wall(), 6)}
+        nonlocal second, written, left_out
+        now = wall()
+        if most and int(now) == second and written >= most:
+            left_out += 1
+            return
+        if int(now) != second:
+            second, written = int(now), 0
+        written += 1
+        line = {**bound, **fields, "event": event, "at": round(now, 6)}
+        if left_out:
+            line["left_out"], left_out = left_out, 0
         sink.write(encoder.encode(line).decode() + "\n")
         sink.flush()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -329,6 +329,7 @@
     log.tell(whole + whole)
     platform.run(0.05)
     assert len(platform.node._entries) == 2 and platform.node.changelog.seq == 2
+    assert sum(event == "list" for event, _ in platform.said) == 2
     log.quiet = True
     platform.run(3.5)
     assert log.asked[-1] == "2" and len(log.asked) == 3
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -40,15 +40,15 @@
 
 def start(path):
     command = [sys.executable, "-m", "mintmast", "node", str(path)]
-    return subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+    return subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
 
 
 def until(process, event):
-    for line in process.stdout:
+    for line in process.stderr:
         said = json.loads(line)
         if said["event"] == event:
             return said
-    raise AssertionError(f"ended without {event}: {process.stderr.read()}")
+    raise AssertionError(f"ended without {event}")
 
 
 def ask(port):
