What a host tells on a connection that ends is heard on a new one; none is given back under sessions

Probe: with a stand-in that tells an end on the connection of the set-up and once more on the next one opened, as the protocol says, the end is lost when it crosses the giving back of that connection, from 0.8 ms before to 0.2 ms after. Lines: Pool.look closed spare connections under standing sessions, and Pool.ended opened no other while one was left.

The change: where sessions stand, the end of a connection opens another, and spare ones are kept while connections are not scarce. Both tests fail without their lines.

--- a/mintmast/signalling/hosts.py
+++ b/mintmast/signalling/hosts.py
@@ -21,6 +21,8 @@
 LOOK = 250_000
 # µs after which an idle connection beyond the first is given back
 SPARE = 4_000_000
+# part of the connections in use from which spare ones are given back also where sessions stand
+SCARCE = 0.75
 # bytes that may wait for one host; sessions to be released at a host that cannot be reached just now
 LIMITS, MOST_CUTS = Limits(unsent=1 << 18, chunk=1 << 15), 1024
 
@@ -228,6 +230,8 @@
         if line in self.lines:
             self.lines.remove(line)
             self.hosts.lines -= 1
+        if line.was_open and self._hear_again():
+            return
         if any(each.stream is not None for each in self.lines):
             return
         if reason is Close.REFUSED:
@@ -239,6 +243,18 @@
         if not self.is_replaced and not self.lines and (self.cuts or self.hosts.events.wanted(self.host)):
             self.connect()
 
+    def _hear_again(self) -> bool:
+        """Open a connection in place of one that ended, where sessions stand; False where none is needed.
+
+        Danger: what the host told on the old one may have crossed its end. It tells ends once more, on the
+        next connection that is opened, and would never be heard by a gateway that keeps to the others.
+        """
+        if self.is_replaced or not self.hosts.events.wanted(self.host):
+            return False
+        if self.hosts.lines < self.hosts.limits.connections and all(each.stream for each in self.lines):
+            self.connect()
+        return True
+
     def replaced(self) -> None:
         """Take it that another host has the address: what is reached there is no longer this one."""
         if not self.is_replaced:
@@ -264,8 +280,9 @@
         for line in list(self.lines):
             line.look(now)
         idle = sorted((line for line in self.lines if line.idle), key=lambda line: line.heard)
+        scarce = self.hosts.lines > self.hosts.limits.connections * SCARCE
         for line in idle[:-1]:
-            if now - line.used > SPARE:
+            if (scarce or not wanted) and now - line.used > SPARE:
                 line.close()
         if not wanted and len(self.lines) == 1 and idle:
             if self.gone or now - idle[-1].used > self.hosts.limits.idle_time // 2:
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -58,6 +58,7 @@
     def __init__(self, platform, name, script=None):
         self.platform, self.name, self.script = platform, name, script or play
         self.ends, self.set_ups, self.cuts = [], [], []
+        self.home, self.again = {}, []
         self.up()
 
     def up(self):
@@ -66,13 +67,26 @@
 
     def accept(self):
         self.ends.append(Peer(self.take))
+        again, self.again = self.again, []
+        for call, cause in again:
+            self.platform.world.at(self.platform.now() + 1000, self.tell, self.ends[-1], call, cause)
         return self.ends[-1]
 
+    def tell(self, end, call, cause):
+        end.stream.write(release(call, cause))
+
+    def end(self, call, cause=Cause.NORMAL_CLEARING):
+        """End a session: told on the connection of its set-up, and on the next one opened."""
+        self.again.append((call, cause))
+        home = self.home[call]
+        self.tell(home if home.closed_by is None else self.live()[-1], call, cause)
+
     def take(self, end, message):
         if message.kind == Kind.TEST:
             end.stream.write(messages.tested(message.call, True))
         elif message.kind == Kind.SET_UP:
             self.set_ups.append((self.platform.now(), message))
+            self.home[message.call] = end
             self.script(self, end, message)
         elif message.kind == Kind.RELEASE:
             self.cuts.append(message.call)
--- a/tests/test_node_hard.py
+++ b/tests/test_node_hard.py
@@ -5,6 +5,7 @@
 from test_node import one_answer
 
 from mintmast.interface import Move
+from mintmast.signalling.hosts import LOOK, SPARE
 from mintmast.signalling.messages import encode, release
 
 
@@ -211,6 +212,32 @@
     assert max(len(each.link.changes) for each in module.servers.values()) < 50
 
 
+@pytest.mark.parametrize("before_us", range(-200, 1600, 100))
+def test_an_end_told_on_a_connection_that_is_just_given_back_is_heard_all_the_same(before_us):
+    platform = Platform("a", script=later(0.01))
+    back = platform.now() // LOOK * LOOK + LOOK + SPARE  # the look at which what is used now is given back
+    host, end = platform.hosts["a"], platform.viewer()
+    calls = [platform.ask(end, figures="home:0;copies:4;top:0") for _ in range(3)]
+    platform.world.run(back - before_us)
+    for call in calls:
+        host.end(call)
+    platform.run(1)
+    assert all(end.of(call, Kind.RELEASE) for call in calls)
+
+
+def test_an_end_told_on_a_connection_that_breaks_is_heard_on_the_next():
+    platform = Platform("a", script=later(0.01))
+    host, end = platform.hosts["a"], platform.viewer()
+    calls = [platform.ask(end, figures="home:0;copies:4;top:0") for _ in range(3)]
+    platform.run(0.2)
+    assert len(host.live()) == 3
+    for call in calls:
+        host.again.append((call, Cause.NORMAL_CLEARING))
+        host.home[call].stream.abort()
+        platform.run(0.2)
+        assert end.of(call, Kind.RELEASE)
+
+
 def test_silence_of_one_set_up_does_not_hold_up_others_at_the_same_host():
     platform = Platform("a")
     host, end = platform.hosts["a"], platform.viewer()
