--- a/tests/test_node_hard.py
+++ b/tests/test_node_hard.py
@@ -80,6 +80,21 @@
     assert sent == (1 if service == "paid" else 2)
 
 
+def test_a_paid_set_up_of_which_a_part_was_written_goes_to_another_host():
+    platform = Platform("a", "b", script=silent)
+    end = platform.viewer()
+    call = platform.ask(end, "paid")
+    platform.run(0.05)
+    (first,) = [name for name, host in platform.hosts.items() if host.set_ups]
+    (line,) = [e for e in platform.node.hosts.pools[f"id-{first}".encode()].lines if e.attempt]
+    other = platform.hosts["b" if first == "a" else "a"]
+    other.script = play
+    line.stream.handed_over -= 1  # the network had not taken the last byte
+    line.stream.abort()
+    platform.run(0.1)
+    assert one_answer(end, call).params[Param.DESCRIPTION] == b"from " + other.name.encode()
+
+
 def test_a_new_connection_that_is_reset_before_its_test_passed_costs_a_paid_set_up_nothing():
     platform = Platform("a")
     host, end = platform.hosts["a"], platform.viewer()
