Code that earlier rounds left dead is gone; one bound's comment told right

Read over the whole change: nobody called calls_of, read the count of faults, the last event's id, the number of cells in the terms or hardLimit in the names; fail_all had one caller left, drop cleared its line in both branches, and the change log's back-off is bounded by half a second, not one. Behaviour is as it was, no assertion of a test changed.

--- a/mintmast/decisions/calls.py
+++ b/mintmast/decisions/calls.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -430,10 +429,3 @@
             commands += (MoveAway(call.id, call.viewer), Cut(call.id, call.host))
             events.append(self._event(now, call, Tell.CLOSED, _Sight(Seen.OVER, Outcome.CANCELLED)))
             self._forget(call)
-
-
-def calls_of(calls: Calls, viewer: int, ids: Iterable[bytes]) -> list[Call]:
-    """Give those of the calls `ids` that still wait for their answer at `viewer`."""
-    found = (calls.by_id.get(each) for each in ids)
-    waiting = (Stage.ASKED, Stage.OUT)
-    return [call for call in found if call is not None and call.viewer == viewer and call.stage in waiting]
--- a/mintmast/http/events.py
+++ b/mintmast/http/events.py
@@ -12,15 +12,14 @@
 
 
 class EventReader:
-    """Reads `event`, `data` and `id` fields, passes comments over; `last_id` is that of the last event."""
+    """Reads `event` and `data` fields; other fields and comments are passed over."""
 
     def __init__(self, take: Callable[[str, dict[str, Any]], None], most: int = MOST) -> None:
         self._take, self._most = take, most
         self._rest = b""
-        self._kind, self._id = "", ""
+        self._kind = ""
         self._data: list[str] = []
         self._size = 0
-        self.last_id = ""
 
     def feed(self, data: bytes) -> bool:
         """Take bytes; False where they are no events and the line had better be closed."""
@@ -39,8 +38,6 @@
             value = value.removeprefix(" ")
             if name == "event":
                 self._kind = value
-            elif name == "id":
-                self._id = value
             elif name == "data":
                 self._data.append(value)
                 self._size += len(value)
@@ -53,7 +50,6 @@
         self._kind, self._data, self._size = "", [], 0
         if not text:
             return True
-        self.last_id = self._id
         try:
             fields = msgspec.json.decode(text)
         except (msgspec.DecodeError, RecursionError):
--- a/mintmast/signalling/asking.py
+++ b/mintmast/signalling/asking.py
@@ -19,12 +19,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Terms:
-    """What set-ups may name: classes with the longest patience of each (µs), tenants, number of cells."""
+    """What set-ups may name: classes with the longest patience of each (µs), tenants."""
 
     classes: dict[str, int]
     patience: tuple[int, ...]
     tenants: dict[str, int]
-    cells: int
 
 
 @dataclass(slots=True, frozen=True)
--- a/mintmast/signalling/changelog.py
+++ b/mintmast/signalling/changelog.py
@@ -12,7 +12,7 @@
 # µs without a byte after which the log counts as silent: it sends a comment each second, and what it would
 # have told counts as told after 4 s
 SILENT = 2_200_000
-# µs before it is asked again after an end or a refusal, doubled with each in a row up to the second
+# µs before it is asked again after an end or a refusal, doubled with each in a row up to half a second
 AGAIN, AGAIN_MOST = 20_000, 500_000
 # bytes of one event: a full list of some thousand hosts
 MOST_EVENT = 4 << 20
--- a/mintmast/signalling/hosts.py
+++ b/mintmast/signalling/hosts.py
@@ -179,11 +179,10 @@
         self.forget(attempt)
         if line is None:
             return
+        line.attempt = None
         if attempt.end is None:
-            line.attempt = None
             return
         # no answer came on this connection: nothing that stands on it can be trusted to come either
-        line.attempt = None
         line.write(release(attempt.call, Cause.NORMAL_CLEARING))
         line.close()
         self.cut(attempt.call)
--- a/mintmast/signalling/node.py
+++ b/mintmast/signalling/node.py
@@ -78,11 +78,10 @@
 
 class _Named(msgspec.Struct):
     name: str
-    hardLimit: int = 0  # noqa: N815 - the platform's word
 
 
 class _Caps(msgspec.Struct, frozen=True):
-    connectTimeout: int = 250_000  # noqa: N815
+    connectTimeout: int = 250_000  # noqa: N815 - the platform's word
     idleClose: int = 30_000_000  # noqa: N815
 
 
@@ -160,7 +159,6 @@
             {each.name: place for place, each in enumerate(names.services)},
             tuple(each.deadline for each in settings.classes),
             {each.name: place for place, each in enumerate(names.accounts)},
-            settings.cells,
         )
         self.viewers = Viewers(loop, self, terms, viewers, room, say)
         self._carry(self.calls.start(loop.now()))
--- a/mintmast/signalling/viewers.py
+++ b/mintmast/signalling/viewers.py
@@ -54,7 +54,6 @@
         self._count = 0
         self._peers: dict[bytes, str] = {}  # of sessions whose connection is gone: the viewer's side
         self._owed: deque[tuple[int, str, bytes]] = deque(maxlen=MOST_OWED)
-        self.faults = 0
         loop.call_at(loop.now() + LOOK, self._look)
 
     def accept(self) -> Handler:
@@ -280,11 +279,6 @@
             self.viewers.events.left(call)
         self.write(encode(Kind.HEARD, call))
 
-    def fail_all(self, cause: Cause) -> None:
-        """Answer what is open here, as nothing more can be believed of it."""
-        for call in self._leave():
-            self.write(release(call, cause))
-
     def _leave(self) -> list[bytes]:
         waiting = list(self.open)
         for call in waiting:
@@ -295,13 +289,13 @@
 
     def condemn(self, cause: Cause, why: str) -> None:
         """Fail what is open and close: the peer does not speak the protocol, or not in its time."""
-        self.viewers.faults += 1
         if self.carried:
             viewers = self.viewers
             viewers.say(
                 "viewer closed", peer=self.peer, cause=cause.name, why=why, sessions=len(self.carried)
             )
-        self.fail_all(cause)
+        for call in self._leave():
+            self.write(release(call, cause))
         self.end()
 
     def end(self) -> None:
