--- a/mintmast/loop/real.py
+++ b/mintmast/loop/real.py
@@ -4,6 +4,7 @@
 
 import errno
 import gc
+import os
 import selectors
 import signal
 import socket
@@ -50,7 +51,7 @@
         self.longest_turn = 0  # µs
         self.turns = 0
         self.on_turn: Callable[[int], None] | None = None
-        self._wakeup: tuple[socket.socket, socket.socket] | None = None
+        self._wakeup: tuple[int, int] | None = None
 
     def now(self) -> int:
         """Give the microseconds of the monotonic clock."""
@@ -103,12 +104,9 @@
     def on_signal(self, do: Callable[[], Any], *signals: signal.Signals) -> None:
         """Call `do` in the loop's next turn when one of these signals comes."""
         if self._wakeup is None:
-            ours, theirs = socket.socketpair()
-            ours.setblocking(False)
-            theirs.setblocking(False)
-            self._wakeup = theirs, ours
-            signal.set_wakeup_fd(theirs.fileno())
-            self._selector.register(ours, selectors.EVENT_READ, lambda mask: ours.recv(64))
+            ours, theirs = self._wakeup = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
+            signal.set_wakeup_fd(theirs)
+            self._selector.register(ours, selectors.EVENT_READ, lambda mask: os.read(ours, 64))
         for each in signals:
             signal.signal(each, lambda *_: self.call_soon(do))
 
