Priced connections are reused, and hosts unheard count at the mean of all, not of busy ones

Checked: it is not the pools (one set-up a connection plays no part at 1.3 set-ups a second a gateway; none were closed as idle) but the choice of host, decide._holders and _admit, which know nothing of lines. The average (decide._survey) is a plain mean over hosts where own sessions play: a sample in proportion to use; mean plus variance over mean of the noted uses gives 0.535, which is what was believed. Age of notes was ruled out as the main part: fresh ones alone show the same.

Change: a holder to which a connection stands seems roomier by the told price of a new one, in the zone bonus's unit, and is looked at first (nothing changes where the settings name no price); the average is the harmonic mean.

--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -25,10 +25,12 @@
 # part of the room that the price fills where own sessions lie at no server, at all: what is noted of servers
 # without own sessions is thin or old, so less of their room can be counted on
 FILL_FEW, FILL_ALL = 0.75, 1.0
+LEAST_USE = 0.1  # noted use that an average takes at the least: a server heard of carries a session
 NO_LIMIT = 1e12  # kB a second; a link or uplink of which nothing is told
 # sizes told beyond this or under its inverse, and uses noted above the other, are taken for broken
 MAX_SIZE, MAX_USE = 1000.0, 20.0
-# part of a link; room that a holder in the own zone seems to have more, per told price of crossing
+# part of a link; room that a holder in the own zone seems to have more, per told price of crossing, and one
+# to which a connection stands, per told price of a new one
 ZONE_ROOM = 10.0
 # holders looked at: of more, gateways follow the same old notes in step; of fewer, they meet full ones. And
 # how many are drawn to find so many that can be used, before all are looked at
@@ -129,6 +131,7 @@
     sent: deque[int] = field(default_factory=deque)
     shed_at: int = -(10**15)
     gone_at: int | None = None  # when it was first heard that it is gone
+    used: int = -(10**15)  # when it was last sent a set-up or a session ended there
 
 
 @dataclass(slots=True)
@@ -300,6 +303,7 @@
         session.tried.append(session.server)
         server.sessions[session.request] = session
         server.sent.append(now)
+        server.used = now
         self._charge(now, server, session, session.kb)
         timeout = 0  # a paid set-up is not tried again, so it gets all the time there is
         if session.service.effect is Effect.FREE:
@@ -339,7 +343,7 @@
             session.may_have_run = True
         if event.complete or session.playing or session.over:
             if server is not None and session.playing:
-                server.full_until = 0  # a place is free again
+                server.full_until, server.used = 0, now  # a place is free again
             del self.sessions[session.request]
             self._seat(session, -1)
             if session.playing and event.outcome is Outcome.RESET:
@@ -398,6 +402,8 @@
             order = link / server.link.limit + rack / self.uplinks[server.rack].limit
             if server.entry.zone == self.settings.zone:
                 order += ZONE_ROOM * self.settings.cross_zone_cost
+            if self._near(now, server):
+                order += ZONE_ROOM * self.settings.handshake_cost
             key = (self._suspect(now, server, session), -order, self.random.random())
             ordered.append((key, server, min(link, rack)))
         ordered.sort(key=lambda each: each[0])
@@ -431,7 +437,9 @@
         else:
             held = list(self.servers.values())
         found: list[_Server] = []
-        for pool in (self.random.sample(held, DRAWN), held) if len(held) > DRAWN else (held,):
+        near = [each for each in held if self._near(now, each)]
+        pools = (near, self.random.sample(held, DRAWN), held) if len(held) > DRAWN else (held,)
+        for pool in pools:
             found = [
                 each
                 for each in pool
@@ -442,9 +450,21 @@
             ]
             well = [each for each in found if not self._suspect(now, each, session)]
             if len(well) >= CHOICES:
-                return self.random.sample(well, CHOICES)
+                self.random.shuffle(well)
+                return sorted(well, key=lambda each: not self._near(now, each))[:CHOICES]
         return found
 
+    def _near(self, now: int, server: _Server) -> bool:
+        """Tell whether a connection to the server stands: own sessions play there, or did a moment ago.
+
+        Danger: in a large fleet each gateway sends few set-ups to each server, so nearly every one opens a
+        connection, which servers have few of and the settings may price. Near ones are looked at first and
+        seem roomier by that price. May hurt where notes are old: a gateway stays with its servers longer.
+        """
+        if not self.settings.handshake_cost:
+            return False
+        return bool(server.sessions) or now - server.used < self.settings.line_idle
+
     def _survey(self, now: int) -> None:
         """Renew the sums over the fleet, once in a short while; own charges are added as they come."""
         if now - self.surveyed < SURVEY_AGE:
@@ -454,9 +474,12 @@
         listed = [each for each in self.servers.values() if each.entry.state is ServerState.READY]
         heard = [each.link for each in self.servers.values() if each.link.use is not None]
         self.heard = bool(heard)
+        # Danger: a server is heard of while own sessions play there, so of many servers the busy ones are
+        # heard. Drawn in proportion to use, the harmonic mean of a few is the mean of all. May hurt where
+        # all are heard: the fewer unheard then count as a little emptier than they are.
         weights = [pipe.fresh(now) + 0.01 for pipe in heard]
-        uses = sum(min(1.0, pipe.use) * weight for pipe, weight in zip(heard, weights, strict=True))
-        self.mean_use = uses / (sum(weights) or 1.0)
+        parts = [w / min(1.0, max(LEAST_USE, p.use)) for p, w in zip(heard, weights, strict=True)]
+        self.mean_use = sum(weights) / (sum(parts) or 1.0)
         racks = len(self.uplinks)
         self.needs, self.known, links = [0.0] * racks, [0.0] * racks, [0.0] * racks
         for each in listed:  # a link asked for several times its rate still carries no more
--- a/mintmast/interface.py
+++ b/mintmast/interface.py
@@ -130,6 +130,8 @@
     load_fields: tuple[str, ...]
     cross_zone_cost: float = 0.0
     move_cost: float = 0.0
+    handshake_cost: float = 0.0
+    line_idle: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/mintmast/wire.py
+++ b/mintmast/wire.py
@@ -378,4 +378,6 @@
         load_fields=tuple(str(each) for each in report.get("fields", ())) if piggyback else (),
         cross_zone_cost=_number(costs.get("crossZone", 0)),
         move_cost=_number(costs.get("moves", 0)),
+        handshake_cost=_number(costs.get("handshake", 0)),
+        line_idle=int(caps.get("idleClose", 0)) // 2,
     )
