--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -182,6 +182,7 @@
         # Sums over the fleet; asked of each uplink, with and without averages for servers unheard:
         self.surveyed = -SURVEY_AGE
         self.mean_use, self.heard, self.room = 0.0, False, 0.0
+        self.held = 1.0  # part of the servers that hold the title asked for last
         self.needs, self.known = [0.0] * s.racks, [0.0] * s.racks
         self.price = (0.0, 1.0)  # worth for a kB of the marginal step, and the part of it that fits
         self.price_at = -SURVEY_AGE
@@ -436,6 +437,7 @@
             held = [server for cell in where for server in self.by_cell.get(cell, ())]
         else:
             held = list(self.servers.values())
+        self.held = len(held) / max(1, len(self.servers))
         found: list[_Server] = []
         near = [each for each in held if self._near(now, each)]
         pools = (near, self.random.sample(held, DRAWN), held) if len(held) > DRAWN else (held,)
@@ -450,8 +452,8 @@
             ]
             well = [each for each in found if not self._suspect(now, each, session)]
             if len(well) >= CHOICES:
-                self.random.shuffle(well)
-                return sorted(well, key=lambda each: not self._near(now, each))[:CHOICES]
+                some = self.random.sample(well, len(well) if near else CHOICES)
+                return sorted(some, key=lambda each: not self._near(now, each))[:CHOICES]
         return found
 
     def _near(self, now: int, server: _Server) -> bool:
@@ -474,12 +476,15 @@
         listed = [each for each in self.servers.values() if each.entry.state is ServerState.READY]
         heard = [each.link for each in self.servers.values() if each.link.use is not None]
         self.heard = bool(heard)
-        # Danger: a server is heard of while own sessions play there, so of many servers the busy ones are
-        # heard. Drawn in proportion to use, the harmonic mean of a few is the mean of all. May hurt where
-        # all are heard: the fewer unheard then count as a little emptier than they are.
+        # Danger: a server is heard of while own sessions play there. Where titles lie on few servers, it is
+        # the busy that are heard: of some drawn in proportion to use, the harmonic mean is the mean of all.
+        # Where all hold all, this gateway chose whom it hears, and the plain mean holds.
         weights = [pipe.fresh(now) + 0.01 for pipe in heard]
-        parts = [w / min(1.0, max(LEAST_USE, p.use)) for p, w in zip(heard, weights, strict=True)]
-        self.mean_use = sum(weights) / (sum(parts) or 1.0)
+        uses = [min(1.0, pipe.use) for pipe in heard]
+        total = sum(weights) or 1.0
+        plain = sum(use * weight for use, weight in zip(uses, weights, strict=True)) / total
+        inverse = sum(weight / max(LEAST_USE, use) for use, weight in zip(uses, weights, strict=True)) / total
+        self.mean_use = plain * self.held + (1 - self.held) / inverse if heard else 0.0
         racks = len(self.uplinks)
         self.needs, self.known, links = [0.0] * racks, [0.0] * racks, [0.0] * racks
         for each in listed:  # a link asked for several times its rate still carries no more
