The decisions are cut into rooms by concern: sessions, hosts, gateways, calls

decisions/ was a flat room of 23 files and gets another subsystem. sessions/ holds the book and its parts, hosts/ what is believed of hosts and the merged list (membership.py is merging.py now, as membership will be that of gateways), gateways/ the claims, calls/ the platform's calls; messages and outcomes lie under all.

--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -23,8 +23,8 @@
 from mintmast.config import parse
 from mintmast.decide import Controller
 from mintmast.decisions import messages as msg
-from mintmast.decisions.book import SessionBook
 from mintmast.decisions.outcomes import Evidence
+from mintmast.decisions.sessions.book import SessionBook
 from mintmast.gateway import Gateway
 from mintmast.hosts.protocol import LOAD, event, load_header
 from mintmast.http.client import ClientLimits, Fault, HttpClient, Reply
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -8,8 +8,8 @@
 
 from mintmast.decide import Controller
 from mintmast.decisions import messages as msg
-from mintmast.decisions.book import SessionBook
-from mintmast.decisions.membership import Merger
+from mintmast.decisions.hosts.merging import Merger
+from mintmast.decisions.sessions.book import SessionBook
 from mintmast.interface import ListKind
 from mintmast.lab.stage import ACCESS, SESSION
 from mintmast.sources.files import read_servers
--- a/benchmarks/platform.py
+++ b/benchmarks/platform.py
@@ -13,8 +13,8 @@
 
 from mintmast import interface as api
 from mintmast.decide import Controller
-from mintmast.decisions import calls as c
-from mintmast.decisions.calls import Calls
+from mintmast.decisions.calls import calls as c
+from mintmast.decisions.calls.calls import Calls
 from mintmast.signalling import asking
 from mintmast.signalling.messages import Kind, Param, Reader, encode, release
 
--- a/mintmast/core/service.py
+++ b/mintmast/core/service.py
@@ -11,8 +11,8 @@
 from mintmast import interface as api
 from mintmast.core.ports import AnswerTo, HostPort, ListSource, Order, PeerPort, SteerTo
 from mintmast.decisions import messages as msg
-from mintmast.decisions.book import SessionBook
 from mintmast.decisions.outcomes import Evidence
+from mintmast.decisions.sessions.book import SessionBook
 from mintmast.loop import Loop
 
 Line = Callable[..., None]
--- /dev/null
+++ b/mintmast/decisions/calls/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's calls as the module's events."""
--- /dev/null
+++ b/mintmast/decisions/gateways/__init__.py
@@ -0,0 +1,1 @@
+"""What gateways of a region agree on among themselves."""
--- a/mintmast/decisions/handover.py
+++ b/mintmast/decisions/hosts/handover.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from mintmast import interface as api
-from mintmast.decisions.hostwatch import HostWatch
+from mintmast.decisions.hosts.hostwatch import HostWatch
 from mintmast.decisions.messages import Unwatch, Wake, Watch
 
 # of a long list, entries that the module gets in a turn, lines opened in a turn, and µs between two such
--- /dev/null
+++ b/mintmast/decisions/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""What becomes of asks and sessions: the book and its parts."""
--- a/mintmast/decisions/asks.py
+++ b/mintmast/decisions/sessions/asks.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from mintmast.decisions.messages import Ask, Give, Verdict, Wake
-from mintmast.decisions.sessions import Session
+from mintmast.decisions.sessions.sessions import Session
 
 
 class Asks:
--- a/mintmast/decisions/book.py
+++ b/mintmast/decisions/sessions/book.py
@@ -15,14 +15,7 @@
 from collections.abc import Callable
 
 from mintmast import interface as api
-from mintmast.decisions import moves
-from mintmast.decisions.asks import Asks
-from mintmast.decisions.budget import Budget
-from mintmast.decisions.claims import Claims
-from mintmast.decisions.ends import Ends
-from mintmast.decisions.fleet import Fleet
-from mintmast.decisions.keys import Keys
-from mintmast.decisions.leases import Leases
+from mintmast.decisions.gateways.claims import Claims
 from mintmast.decisions.messages import (
     Ask,
     AskGone,
@@ -52,10 +45,17 @@
     Voted,
     Wake,
 )
-from mintmast.decisions.moving import Moves
 from mintmast.decisions.outcomes import Evidence, Row
-from mintmast.decisions.sessions import Session, Sessions, Signal, Stage
-from mintmast.decisions.setups import SetUps
+from mintmast.decisions.sessions import moves
+from mintmast.decisions.sessions.asks import Asks
+from mintmast.decisions.sessions.budget import Budget
+from mintmast.decisions.sessions.ends import Ends
+from mintmast.decisions.sessions.fleet import Fleet
+from mintmast.decisions.sessions.keys import Keys
+from mintmast.decisions.sessions.leases import Leases
+from mintmast.decisions.sessions.moving import Moves
+from mintmast.decisions.sessions.sessions import Session, Sessions, Signal, Stage
+from mintmast.decisions.sessions.setups import SetUps
 from mintmast.interface import Outcome
 
 # µs after a session's deadline; the book answers by itself if its attempt's end was never told: a hole in the
--- a/mintmast/decisions/ends.py
+++ b/mintmast/decisions/sessions/ends.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from mintmast.decisions.messages import EndEnded, SendEnd, Wake
-from mintmast.decisions.sessions import Session
+from mintmast.decisions.sessions.sessions import Session
 
 SECOND = 1_000_000
 # µs between tries to end a session at a host that does not confirm, until its lease has run out anyway
--- a/mintmast/decisions/fleet.py
+++ b/mintmast/decisions/sessions/fleet.py
@@ -6,14 +6,14 @@
 from typing import Protocol
 
 from mintmast import interface as api
-from mintmast.decisions import moves
-from mintmast.decisions.drains import Drains
-from mintmast.decisions.handover import HandOver
-from mintmast.decisions.hostwatch import HostWatch
-from mintmast.decisions.leases import Leases
+from mintmast.decisions.hosts.drains import Drains
+from mintmast.decisions.hosts.handover import HandOver
+from mintmast.decisions.hosts.hostwatch import HostWatch
 from mintmast.decisions.messages import Drain, HostDrain, HostHello, HostLost, HostNote, ListNews
-from mintmast.decisions.moving import Moves
-from mintmast.decisions.sessions import Session, Sessions
+from mintmast.decisions.sessions import moves
+from mintmast.decisions.sessions.leases import Leases
+from mintmast.decisions.sessions.moving import Moves
+from mintmast.decisions.sessions.sessions import Session, Sessions
 from mintmast.interface import ListKind, Outcome, ServerState
 
 
--- a/mintmast/decisions/leases.py
+++ b/mintmast/decisions/sessions/leases.py
@@ -8,9 +8,9 @@
 
 from collections.abc import Callable, Iterable
 
-from mintmast.decisions.lease import HostClock, Lease, renew_every
 from mintmast.decisions.messages import Renewed, SendRenew, Wake
-from mintmast.decisions.sessions import Session
+from mintmast.decisions.sessions.lease import HostClock, Lease, renew_every
+from mintmast.decisions.sessions.sessions import Session
 
 # sessions in one renewal: some 20 kB, well under what a host takes as a body, and no long turn for either
 # side
--- a/mintmast/decisions/moves.py
+++ b/mintmast/decisions/sessions/moves.py
@@ -15,7 +15,7 @@
 from enum import Enum
 
 from mintmast import interface as api
-from mintmast.decisions.budget import Budget
+from mintmast.decisions.sessions.budget import Budget
 from mintmast.interface import Effect
 
 SECOND = 1_000_000
--- a/mintmast/decisions/moving.py
+++ b/mintmast/decisions/sessions/moving.py
@@ -13,13 +13,13 @@
 import msgspec
 
 from mintmast import interface as api
-from mintmast.decisions import moves
-from mintmast.decisions.budget import Budget
-from mintmast.decisions.ends import Ends
-from mintmast.decisions.leases import Leases
 from mintmast.decisions.messages import Poll, Renewed, Say, Steer, Wake
-from mintmast.decisions.moves import FINAL, Act, MovePlanner, Signal, Stage
-from mintmast.decisions.sessions import Session, Sessions
+from mintmast.decisions.sessions import moves
+from mintmast.decisions.sessions.budget import Budget
+from mintmast.decisions.sessions.ends import Ends
+from mintmast.decisions.sessions.leases import Leases
+from mintmast.decisions.sessions.moves import FINAL, Act, MovePlanner, Signal, Stage
+from mintmast.decisions.sessions.sessions import Session, Sessions
 from mintmast.interface import Effect, Outcome
 
 SECOND = 1_000_000
--- a/mintmast/decisions/sessions.py
+++ b/mintmast/decisions/sessions/sessions.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from mintmast.decisions.lease import Lease
 from mintmast.decisions.messages import Ask
+from mintmast.decisions.sessions.lease import Lease
 from mintmast.interface import Effect
 
 
--- a/mintmast/decisions/setups.py
+++ b/mintmast/decisions/sessions/setups.py
@@ -4,11 +4,11 @@
 
 from collections.abc import Callable
 
-from mintmast.decisions.ends import Ends
-from mintmast.decisions.leases import Leases
 from mintmast.decisions.messages import CallOff, SendSetUp, SetUpEnded
 from mintmast.decisions.outcomes import TABLE, Evidence, Row, may_have_run
-from mintmast.decisions.sessions import Act, Session, Signal
+from mintmast.decisions.sessions.ends import Ends
+from mintmast.decisions.sessions.leases import Leases
+from mintmast.decisions.sessions.sessions import Act, Session, Signal
 
 
 class SetUps:
--- a/mintmast/lab/drills/frame.py
+++ b/mintmast/lab/drills/frame.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from mintmast.decisions.moves import END_QUICK
+from mintmast.decisions.sessions.moves import END_QUICK
 from mintmast.lab.audit import Findings, Terms, audit, membership, moves, worth
 from mintmast.lab.drills import bad_day, drain, files, registry, roaming
 from mintmast.lab.drills.day import Day, Drill, model, settings
--- a/mintmast/lab/registry.py
+++ b/mintmast/lab/registry.py
@@ -8,7 +8,7 @@
 
 from lxml import etree
 
-from mintmast.decisions.registry import Instance, hashcode
+from mintmast.decisions.hosts.registry import Instance, hashcode
 from mintmast.http.server import Exchange, HttpServer, ServerLimits
 from mintmast.loop import Loop
 
--- a/mintmast/lab/stage.py
+++ b/mintmast/lab/stage.py
@@ -17,8 +17,8 @@
 import jwt
 
 from mintmast.config import parse
+from mintmast.decisions.hosts.registry import STATES
 from mintmast.decisions.outcomes import TABLE, Evidence, Row
-from mintmast.decisions.registry import STATES
 from mintmast.fronts.tokens import Keys, SessionTokens
 from mintmast.gateway import Gateway
 from mintmast.http.client import ClientLimits, HttpClient
--- a/mintmast/signalling/asking.py
+++ b/mintmast/signalling/asking.py
@@ -6,7 +6,7 @@
 import re
 from dataclasses import dataclass
 
-from mintmast.decisions.calls import Wish
+from mintmast.decisions.calls.calls import Wish
 from mintmast.signalling.messages import MOST, Cause, Message, Param
 
 MS = 1000
--- a/mintmast/signalling/node.py
+++ b/mintmast/signalling/node.py
@@ -14,8 +14,8 @@
 from mintmast import interface as api
 from mintmast import wire
 from mintmast.decide import Controller
-from mintmast.decisions import calls as cmd
-from mintmast.decisions.calls import Calls, Stage
+from mintmast.decisions.calls import calls as cmd
+from mintmast.decisions.calls.calls import Calls, Stage
 from mintmast.decisions.outcomes import Evidence
 from mintmast.loop import Loop
 from mintmast.loop.real import SelectorLoop, settle_memory
--- a/mintmast/sources/eureka.py
+++ b/mintmast/sources/eureka.py
@@ -15,7 +15,7 @@
 import msgspec
 from lxml import etree
 
-from mintmast.decisions.registry import Instance, Reader, entries
+from mintmast.decisions.hosts.registry import Instance, Reader, entries
 from mintmast.http.client import ClientLimits, Fault, HttpClient, Reply
 from mintmast.interface import ListEntry
 from mintmast.loop import Loop
--- a/mintmast/sources/merged.py
+++ b/mintmast/sources/merged.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from mintmast.decisions.membership import Merger
+from mintmast.decisions.hosts.merging import Merger
 from mintmast.interface import ListEntry, ListKind
 from mintmast.loop import Loop, Timer
 from mintmast.sources.eureka import EurekaSource
--- a/tests/test_book.py
+++ b/tests/test_book.py
@@ -12,12 +12,12 @@
 from mintmast import Controller
 from mintmast import interface as api
 from mintmast.decisions import messages as b
-from mintmast.decisions.book import BACKSTOP, SessionBook
-from mintmast.decisions.ends import END_TIME
-from mintmast.decisions.handover import WATCHED_AT_ONCE
-from mintmast.decisions.keys import KEY_KEPT
-from mintmast.decisions.lease import DRIFT, HostClock, Lease
+from mintmast.decisions.hosts.handover import WATCHED_AT_ONCE
 from mintmast.decisions.outcomes import TABLE, Evidence
+from mintmast.decisions.sessions.book import BACKSTOP, SessionBook
+from mintmast.decisions.sessions.ends import END_TIME
+from mintmast.decisions.sessions.keys import KEY_KEPT
+from mintmast.decisions.sessions.lease import DRIFT, HostClock, Lease
 from mintmast.interface import ServerState
 
 LEASE = 4 * S
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mintmast.decisions.budget import Budget
+from mintmast.decisions.sessions.budget import Budget
 from mintmast.interface import AttemptBudget
 from mintmast.lab import drills
 from mintmast.lab.audit import Terms, audit
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies as st
 
 from mintmast import interface as api
-from mintmast.decisions import calls as c
-from mintmast.decisions.calls import TABLE, Calls, Owed, Seen, Stage, Tell, Wish
+from mintmast.decisions.calls import calls as c
+from mintmast.decisions.calls.calls import TABLE, Calls, Owed, Seen, Stage, Tell, Wish
 from mintmast.decisions.outcomes import TABLE as OUTCOMES
 from mintmast.decisions.outcomes import Evidence
 from mintmast.interface import NoteKind, Outcome, ServerState
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -6,9 +6,19 @@
 import pytest
 from world import PAID, SECOND, Small
 
-from mintmast.decisions import claims
 from mintmast.decisions import messages as msg
-from mintmast.decisions.claims import CLAIM_TIME, Claims, Record, Stage, Tally, learn, release, stage_of, vote
+from mintmast.decisions.gateways import claims
+from mintmast.decisions.gateways.claims import (
+    CLAIM_TIME,
+    Claims,
+    Record,
+    Stage,
+    Tally,
+    learn,
+    release,
+    stage_of,
+    vote,
+)
 from mintmast.decisions.messages import Vote
 from mintmast.http.client import HttpClient
 from mintmast.lab import drills
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,7 +11,7 @@
 from world import FREE, Small
 
 from mintmast.cli import main
-from mintmast.decisions.membership import FLAPS, HOLD, STEADY, Merger
+from mintmast.decisions.hosts.merging import FLAPS, HOLD, STEADY, Merger
 from mintmast.interface import ServerState
 from mintmast.loop.memory import World
 from mintmast.sources.files import WatchedFile
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -6,9 +6,9 @@
 from world import FREE, PAID, SECOND, Small
 
 from mintmast import interface as api
-from mintmast.decisions import moves
-from mintmast.decisions.budget import Budget
-from mintmast.decisions.moves import FINAL, OLD_MAY_PLAY, Act, MovePlanner, Signal, Stage
+from mintmast.decisions.sessions import moves
+from mintmast.decisions.sessions.budget import Budget
+from mintmast.decisions.sessions.moves import FINAL, OLD_MAY_PLAY, Act, MovePlanner, Signal, Stage
 from mintmast.http.client import Fault
 from mintmast.interface import Effect
 from mintmast.player import Player
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mintmast.decisions.registry import FULL_EVERY, Instance, Reader, entries, hashcode
+from mintmast.decisions.hosts.registry import FULL_EVERY, Instance, Reader, entries, hashcode
 from mintmast.interface import ServerState
 from mintmast.lab import drills
 from mintmast.lab.registry import RegistryStandIn
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -8,9 +8,9 @@
 
 from mintmast import interface as api
 from mintmast.decisions import messages as b
-from mintmast.decisions import sessions
 from mintmast.decisions.outcomes import Evidence
-from mintmast.decisions.sessions import Act, Signal, Stage, StepError, step
+from mintmast.decisions.sessions import sessions
+from mintmast.decisions.sessions.sessions import Act, Signal, Stage, StepError, step
 from mintmast.interface import ServerState
 
 # The model: one paid session, its gateway, two hosts A and B, and a network that loses, delays and doubles.
