--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -477,14 +477,16 @@
         heard = [each.link for each in self.servers.values() if each.link.use is not None]
         self.heard = bool(heard)
         # Danger: a server is heard of while own sessions play there. Where titles lie on few servers, it is
-        # the busy that are heard: of some drawn in proportion to use, the harmonic mean is the mean of all.
-        # Where all hold all, this gateway chose whom it hears, and the plain mean holds.
+        # the busy that are heard: were they drawn in proportion to use, the harmonic mean would be the mean
+        # of all; as the roomier of the holders are chosen, it lies half way. Where all hold all, this
+        # gateway chose whom it hears, and the plain mean holds.
         weights = [pipe.fresh(now) + 0.01 for pipe in heard]
         uses = [min(1.0, pipe.use) for pipe in heard]
         total = sum(weights) or 1.0
         plain = sum(use * weight for use, weight in zip(uses, weights, strict=True)) / total
         inverse = sum(weight / max(LEAST_USE, use) for use, weight in zip(uses, weights, strict=True)) / total
-        self.mean_use = plain * self.held + (1 - self.held) / inverse if heard else 0.0
+        part = (1 - self.held) / 2
+        self.mean_use = plain * (1 - part) + part / inverse if heard else 0.0
         racks = len(self.uplinks)
         self.needs, self.known, links = [0.0] * racks, [0.0] * racks, [0.0] * racks
         for each in listed:  # a link asked for several times its rate still carries no more
