--- a/mintmast/cli/__init__.py
+++ b/mintmast/cli/__init__.py
@@ -213,6 +213,34 @@
     sys.exit(operate(admin, token, "POST", "/v1/drains", {"host": host, "on": False}))
 
 
+@main.group("members", invoke_without_command=True)
+@click.option(
+    "--admin", "admins", multiple=True, help="Administrative address, HOST:PORT; may be given often."
+)
+@click.option("--token", envvar="MINTMAST_ADMIN_TOKEN", default="", help="Operators' token.")
+@click.option("--json", "as_json", is_flag=True, help="Print what each said as JSON.")
+@click.pass_context
+def members_group(context: click.Context, admins: tuple[str, ...], token: str, as_json: bool) -> None:
+    """Tell what gateways believe of each other, and where they disagree."""
+    if context.invoked_subcommand is None:
+        from mintmast.cli.members import members
+
+        if not admins:
+            _bad(["members: --admin is needed"])
+        sys.exit(members(admins, token, as_json))
+
+
+@members_group.command("forget")
+@click.argument("name")
+@click.option("--yes", is_flag=True, help="The machine is off, or its process provably ended.")
+@_administrative
+def members_forget(name: str, yes: bool, admin: str, token: str) -> None:
+    """Say that the gateway NAME is gone for good."""
+    from mintmast.cli.members import forget
+
+    sys.exit(forget(name, admin, token, yes))
+
+
 @main.command("moves")
 @_administrative
 def moves(admin: str, token: str) -> None:
--- a/mintmast/cli/operate.py
+++ b/mintmast/cli/operate.py
@@ -12,12 +12,14 @@
 SECOND = 1_000_000
 
 
-def operate(admin: str, token: str, method: str, path: str, body: dict[str, Any] | None) -> int:
-    """Make the call and print what it tells; 0 done, 1 not done, 2 bad use."""
+def administrative(
+    admin: str, token: str, method: str, path: str, body: dict[str, Any] | None
+) -> tuple[int, dict[str, Any] | None]:
+    """Make a call to a gateway's administrative address; (0, what it tells), or (1 or 2, None) and a line."""
     host, _, port = admin.rpartition(":")
     if not host or not port.isdigit() or not 0 < int(port) < 65_536:
         print(f"mintmast: --admin {admin}: HOST:PORT is needed", file=sys.stderr)
-        return 2
+        return 2, None
     loop = SelectorLoop()
     replies: list[Reply | Fault] = []
 
@@ -33,11 +35,18 @@
     reply = replies[0]
     if isinstance(reply, Fault):
         print(f"mintmast: {admin}: {reply.value}", file=sys.stderr)
-        return 1
+        return 1, None
     if reply.status != 200:
         print(f"mintmast: {reply.status} {reply.body.decode('utf-8', 'replace')}", file=sys.stderr)
-        return 1
-    told = json.loads(reply.body)
+        return 1, None
+    return 0, json.loads(reply.body)
+
+
+def operate(admin: str, token: str, method: str, path: str, body: dict[str, Any] | None) -> int:
+    """Make the call and print what it tells; 0 done, 1 not done, 2 bad use."""
+    code, told = administrative(admin, token, method, path, body)
+    if told is None:
+        return code
     if path == "/v1/sources":
         for name, about in told.items():
             age = "never" if about["age_s"] is None else f"{about['age_s']:.0f} s ago"
--- /dev/null
+++ b/mintmast/decisions/gateways/members.py
@@ -0,0 +1,562 @@
+"""Who of the region's gateways is there: probes, suspicion, refutation, and what others told.
+
+SWIM (Das, Gupta, Motivala 2002) with Lifeguard's local health (Dadgar, Phillips, Currey 2017): each gateway
+probes one other a period, first itself, then through helpers and over TCP, and passes on what it heard with
+the words that it sends anyway. The changes: nobody is taken out by one observer's word, however long it
+stands; a gateway that stood still accuses nobody; unreachable is never dead (`standing.py`).
+
+Pure: `take(now, event)` gives commands; times in µs, random numbers from the generator handed in.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+import msgspec
+
+from mintmast.decisions.gateways.standing import (
+    CONCLUSIONS,
+    Conclusion,
+    Proof,
+    Standing,
+    State,
+    live_counts,
+    merge,
+    refused,
+    refuted,
+)
+from mintmast.decisions.gateways.words import MOST_NEWS, Kind, News, Window, Word
+
+MS, SECOND = 1000, 1_000_000
+# µs between probes; two a second find a loss within the time that a paid viewer waits
+PERIOD = 500 * MS
+# µs for an answer before others are asked: a round trip in a region and a turn of a busy loop
+ANSWER = 150 * MS
+# who are asked to probe in this gateway's place, as in SWIM: with a fifth of all datagrams lost, all three
+# fail for a gateway that is well once in fourteen times
+HELPERS = 3
+# observers that must hear nothing before a gateway is taken for unreachable, where there are so many: a
+# single machine's trouble, or two on one broken switch, take out nobody
+OBSERVERS = 3
+# µs for which a suspicion stands at the least, so that the suspected has a chance to say that it lives
+SUSPECTED_FOR = 2 * PERIOD
+# times that news is passed on, for each doubling of the number of gateways; SWIM's lambda
+SPREAD = 3
+# µs by which a wake may be late before this process counts as having stood still: longer than any turn of a
+# healthy loop, shorter than what a probe waits
+STOOD_STILL = 200 * MS
+# others to be heard after a stand-still, where half of the region is more: what they say is all the region's
+# news, and so many do not all share one cut
+HEARD_ENOUGH = 5
+# steps of own slowness, each of which makes time-outs longer by one: Lifeguard's bound
+MOST_SLOW = 8
+# of so many probes one goes to a gateway that is not reached, so that its return is noticed
+RETURN_EVERY = 4
+# answers in a row after which a path that was broken counts as whole again, so that a flapping one does not
+WHOLE_AFTER = 4
+
+
+class Way(Enum):
+    """What of the path between this gateway and another works."""
+
+    WHOLE = "whole"
+    NOT_HEARD = "it does not hear us"
+    NOT_HEARING = "we do not hear it"
+    BROKEN = "neither way"
+
+
+class SendWord(msgspec.Struct, frozen=True, gc=False):
+    """Send a word to a gateway; with `sure`, over TCP: a refusal comes back as `Refused(to, known, at)`."""
+
+    to: str
+    word: Word
+    sure: bool = False
+    known: int = 0  # start of the addressee as known now
+    at: int = 0
+
+
+class WakeAt(msgspec.Struct, frozen=True, gc=False):
+    """Call back with `Tick(at)`."""
+
+    at: int
+
+
+class Changed(msgspec.Struct, frozen=True, gc=False):
+    """A gateway stands otherwise than before, as believed here."""
+
+    name: str
+    proof: Proof
+    start: int
+    by: tuple[str, ...] = ()
+
+
+class Noted(msgspec.Struct, frozen=True, gc=False):
+    """Something about this gateway that operators need to know."""
+
+    what: str
+    about: str = ""
+
+
+Command = SendWord | WakeAt | Changed | Noted
+
+
+class Tick(msgspec.Struct, frozen=True, gc=False):
+    """The time of a wake has come; `due` is when it should have."""
+
+    due: int
+
+
+class Heard(msgspec.Struct, frozen=True, gc=False):
+    """A word has come whose seal is good; `sure` where it came over TCP."""
+
+    word: Word
+    sure: bool = False
+
+
+class Refused(msgspec.Struct, frozen=True, gc=False):
+    """A gateway's machine took no connection for a word sent at `at`, when `start` was its last one known."""
+
+    name: str
+    start: int
+    at: int
+
+
+class Forget(msgspec.Struct, frozen=True, gc=False):
+    """An operator's word that a gateway is gone for good."""
+
+    name: str
+
+
+Event = Tick | Heard | Refused | Forget
+
+
+@dataclass(slots=True)
+class Member:
+    """One other gateway as known here."""
+
+    name: str
+    standing: Standing = Standing()
+    proof: Proof = Proof.NEVER_HEARD
+    since: int = 0
+    heard_at: int | None = None
+    datagram_at: int | None = None
+    way: Way = Way.WHOLE
+    answered: int = 0  # probes in a row that were answered directly
+    observers: set[str] = field(default_factory=set)
+    window: Window = field(default_factory=Window)
+
+
+@dataclass(slots=True)
+class _Probe:
+    target: str
+    number: int
+    at: int
+    helpers: tuple[str, ...] = ()
+    asked: bool = False
+    nacks: int = 0
+
+
+class Members:
+    """One gateway's part. `names` are all gateways of the region, this one among them."""
+
+    def __init__(self, name: str, start: int, names: tuple[str, ...], rng: random.Random) -> None:
+        self.name, self.own, self._random = name, Standing(start, 0, State.ALIVE), rng
+        self.others = {each: Member(each) for each in sorted(names) if each != name}
+        self.slow = 0
+        self.condemned = ""  # why this process must not act under its name any more
+        self.dropped = dict.fromkeys(("foreign", "old", "doubled", "bad state"), 0)
+        self.words = 0  # that were sent
+        self._wait: set[str] | None = set()  # who was heard since this process stood still; None: enough
+        self._waits = 0  # whole periods of that
+        self._probe: _Probe | None = None
+        self._relays: dict[int, tuple[str, int, int]] = {}  # own number: asker, its number, when
+        self._number = 0
+        self._order: list[str] = []
+        self._next: deque[str] = deque(maxlen=64)  # suspected by others, to be probed before the rest
+        self._hot: dict[str, int] = {}  # news to be passed on, and how often it was
+        self._slice = 0
+        self._periods = 0
+        self._due = 0
+        self._out: list[Command] = []
+
+    # What others ask of it
+
+    @property
+    def steady(self) -> bool:
+        """Tell whether time gone by means anything here: not just after a stand-still, nor when condemned."""
+        return self._wait is None and not self.condemned
+
+    def proof(self, name: str, start: int | None = None) -> Proof:
+        """Tell what is known of a gateway, or of one of its starts."""
+        member = self.others[name]
+        return Proof.LATER_START if start is not None and start < member.standing.start else member.proof
+
+    def conclusion(self, name: str, start: int | None = None) -> Conclusion:
+        """Tell what may be done about it."""
+        return CONCLUSIONS[self.proof(name, start)]
+
+    def counts(self) -> tuple[int, int]:
+        """Count gateways, this one among them: those who may spend what all share, those relied on."""
+        return live_counts([each.proof for each in self.others.values()])
+
+    # Events
+
+    def begin(self, now: int) -> list[Command]:
+        """Start, at a random place in the first period: gateways that start together do not probe in step."""
+        return self._wake(now + self._random.randrange(PERIOD)) if self.others else []
+
+    def leave(self, now: int) -> list[Command]:
+        """Say that this gateway ends."""
+        self.own = Standing(self.own.start, self.own.incarnation, State.LEFT)
+        there = [each.name for each in self.others.values() if each.proof is Proof.HEARD]
+        for name in self._random.sample(there, min(len(there), 2 * HELPERS)):
+            self._send(now, name, Kind.LEAVE)
+        return self._take_out()
+
+    def take(self, now: int, event: Event) -> list[Command]:
+        """Take an event and give the commands that follow."""
+        if isinstance(event, Tick):
+            self._tick(now, event.due)
+        elif isinstance(event, Heard):
+            self._heard(now, event.word, event.sure)
+        elif event.name in self.others:
+            self._proved(now, event)
+        return self._take_out()
+
+    def _take_out(self) -> list[Command]:
+        out, self._out = self._out, []
+        return out
+
+    def _wake(self, at: int) -> list[Command]:
+        self._due = at
+        self._out.append(WakeAt(at))
+        return self._take_out()
+
+    # Time
+
+    def _tick(self, now: int, due: int) -> None:
+        if due != self._due or self.own.state is State.LEFT:
+            return
+        if now - due > STOOD_STILL:
+            self._stood_still(now)
+        elif self._probe is not None and not self._probe.asked:
+            self._ask_others(now)
+        else:
+            self._judge(now)
+            self._confirm(now)
+            self._listen()
+            self._begin_probe(now)
+        first = self._probe is not None and not self._probe.asked
+        span = (ANSWER if first else PERIOD - ANSWER) * (1 + self.slow)
+        self._due = now + span
+        self._out.append(WakeAt(self._due))
+
+    def _stood_still(self, now: int) -> None:
+        """Take it that this process stood still: what others did meanwhile is not known.
+
+        Danger: a gateway that was stopped for a while believes that all others fell silent, accuses them, and
+        lends its vote to a rumour. It judges nothing that ran over its pause, and first hears from others.
+        """
+        self._probe, self._wait, self._waits = None, set(), 0
+        self.slow = min(MOST_SLOW, self.slow + 1)
+        for member in self.others.values():
+            if member.proof is Proof.SILENT and self.name in member.observers:
+                member.observers.discard(self.name)
+            if member.proof is Proof.SILENT:
+                member.since = now
+        self._out.append(Noted("stood_still"))
+
+    def _listen(self) -> None:
+        """After a stand-still: enough were heard, or there is nobody to be heard."""
+        if self._wait is None:
+            return
+        self._waits += 1
+        half = (len(self.others) + 1) // 2  # with this one, more than half
+        if len(self._wait) >= min(half, HEARD_ENOUGH):
+            self._wait = None
+
+    def _judge(self, now: int) -> None:
+        """End the probe that is out: nobody reached its target."""
+        probe, self._probe = self._probe, None
+        if probe is None:
+            return
+        member = self.others[probe.target]
+        member.answered = 0
+        if probe.helpers and not probe.nacks:
+            self.slow = min(MOST_SLOW, self.slow + 1)  # nobody answered at all: the trouble may be here
+        if self._wait is not None and self._waits < 3:
+            return  # just after a stand-still, or the start
+        heard = member.heard_at is not None and member.heard_at >= probe.at
+        member.way = Way.NOT_HEARD if heard else Way.BROKEN
+        if not heard and member.standing.state in (State.ALIVE, State.SUSPECTED):
+            told = Standing(member.standing.start, member.standing.incarnation, State.SUSPECTED)
+            self._accuse(now, member, told, self.name)
+
+    def _accuse(self, now: int, member: Member, told: Standing, by: str) -> None:
+        """Book an observer's word that it hears nothing of a gateway."""
+        if told < member.standing:
+            return
+        if told > member.standing:
+            member.observers = set()
+            self._set(now, member, told, Proof.SILENT)
+            self._next.append(member.name)
+        if by not in ("", member.name, *member.observers) and len(member.observers) < OBSERVERS:
+            member.observers.add(by)
+            self._hot[member.name] = 0
+
+    def _confirm(self, now: int) -> None:
+        """Take those for unreachable of whom enough observers hear nothing, for long enough."""
+        alive = 1 + sum(each.standing.state is State.ALIVE for each in self.others.values())
+        if self._wait is not None:
+            return
+        for member in self.others.values():
+            if member.standing.state is not State.SUSPECTED:
+                continue
+            if len(member.observers) >= min(OBSERVERS, alive):
+                if now - member.since >= SUSPECTED_FOR * (1 + self.slow):
+                    told = Standing(member.standing.start, member.standing.incarnation, State.UNREACHABLE)
+                    self._set(now, member, told, Proof.CONFIRMED)
+
+    # Probes
+
+    def _begin_probe(self, now: int) -> None:
+        self._periods += 1
+        target = self._target()
+        if target is None:
+            return
+        self._number += 1
+        self._probe = _Probe(target, self._number, now)
+        self._send(now, target, Kind.PING, self._number)
+        for number in [n for n, (_, _, at) in self._relays.items() if now - at > 2 * PERIOD]:
+            del self._relays[number]
+
+    def _target(self) -> str | None:
+        """Give whom to probe: those that others suspect, then one after the other in an order drawn anew."""
+        while self._next:
+            name = self._next.popleft()
+            if self.others[name].standing.state is State.SUSPECTED:
+                return name
+        lost = [each.name for each in self.others.values() if not self._there(each)]
+        if lost and (self._periods % RETURN_EVERY == 0 or len(lost) == len(self.others)):
+            return self._random.choice(lost)
+        while self._order:
+            name = self._order.pop()
+            if self._there(self.others[name]):
+                return name
+        self._order = [each.name for each in self.others.values() if self._there(each)]
+        self._random.shuffle(self._order)
+        return self._order.pop() if self._order else None
+
+    @staticmethod
+    def _there(member: Member) -> bool:
+        return member.standing.state in (State.ALIVE, State.SUSPECTED)
+
+    def _ask_others(self, now: int) -> None:
+        """Go on with a probe that was not answered: through helpers, and over TCP, which loses nothing."""
+        probe = self._probe
+        if probe is None:
+            return
+        probe.asked = True
+        able = [n for n, m in self.others.items() if m.standing.state is State.ALIVE and n != probe.target]
+        probe.helpers = tuple(self._random.sample(able, min(HELPERS, len(able))))
+        for helper in probe.helpers:
+            self._send(now, helper, Kind.ASK, probe.number, probe.target)
+        self._send(now, probe.target, Kind.PING, probe.number, self.name, sure=True)
+
+    def _answered(self, now: int, sender: str, word: Word, sure: bool) -> None:
+        relay = self._relays.pop(word.number, None)
+        if relay is not None:
+            asker, number, _ = relay
+            self._send(now, asker, Kind.ACK, number, sender, word.gap)
+            return
+        probe = self._probe
+        if probe is None or word.number != probe.number:
+            return
+        if word.kind == Kind.NACK:
+            probe.nacks += 1
+            return
+        if sender != probe.target and word.about != probe.target:
+            return
+        self._probe = None
+        member = self.others[probe.target]
+        self.slow = max(0, self.slow - 1)
+        if sender == probe.target and not sure:
+            member.answered += 1
+            if member.answered >= WHOLE_AFTER or member.way is Way.WHOLE:
+                member.way = Way.WHOLE
+            return
+        member.answered = 0
+        came = (
+            0 <= word.gap * MS <= now - probe.at + ANSWER
+        )  # it heard the probe itself, not the answer's way
+        member.way = Way.NOT_HEARING if came else Way.NOT_HEARD
+        if not came and (member.datagram_at is None or now - member.datagram_at > self._round()):
+            member.way = Way.BROKEN
+
+    def _round(self) -> int:
+        """Give the time in which each other gateway has probed this one, µs."""
+        return 2 * PERIOD * (len(self.others) + 1)
+
+    # Words
+
+    def _send(
+        self,
+        now: int,
+        to: str,
+        kind: Kind,
+        number: int = 0,
+        about: str = "",
+        gap: int = -1,
+        sure: bool = False,
+    ) -> None:
+        self.words += 1
+        own = self.own
+        word = Word(
+            kind, self.name, own.start, own.incarnation, self.words, number, about, gap, self._news(to)
+        )
+        self._out.append(SendWord(to, word, sure, self.others[to].standing.start, now))
+
+    def _news(self, to: str) -> tuple[News, ...]:
+        """Choose what to pass on: what is said of the one who reads it, the newest, then all in turn."""
+        names: dict[str, None] = {}
+        if self.others[to].proof is not Proof.HEARD and self.others[to].standing.start:
+            names[to] = None
+        times = SPREAD * math.ceil(math.log2(len(self.others) + 2))
+        for name in sorted(self._hot, key=self._hot.__getitem__)[: MOST_NEWS - len(names)]:
+            names[name] = None
+            self._hot[name] += 1
+            if self._hot[name] >= times:
+                del self._hot[name]
+        all_ = list(self.others)
+        for _ in range(min(len(all_), MOST_NEWS - len(names))):
+            self._slice = (self._slice + 1) % len(all_)
+            names[all_[self._slice]] = None
+        told = [self.others[name] for name in names if self.others[name].standing.start]
+        return tuple(
+            News(m.name, m.standing.start, m.standing.incarnation, m.standing.state, self._by(m))
+            for m in told
+        )
+
+    def _by(self, member: Member) -> str:
+        if member.standing.state is not State.SUSPECTED or not member.observers:
+            return ""
+        return self._random.choice(sorted(member.observers))
+
+    def _heard(self, now: int, word: Word, sure: bool) -> None:
+        if word.sender == self.name and word.start > self.own.start:
+            self._condemn("a later process has this gateway's name")
+        member = self.others.get(word.sender)
+        if member is None:
+            self.dropped["foreign"] += word.sender != self.name
+            return
+        if word.start < member.standing.start:
+            self.dropped["old"] += 1
+            return
+        if not member.window.take(word.start, word.seq):
+            self.dropped["doubled"] += 1
+            return
+        member.heard_at = now
+        member.observers.discard(self.name)
+        if not sure:
+            member.datagram_at = now
+        if self._wait is not None:
+            self._wait.add(member.name)
+        state = State.LEFT if word.kind == Kind.LEAVE else State.ALIVE
+        self._learn(now, member, Standing(word.start, word.incarnation, state), "")
+        for news in word.news:
+            self._told(now, news)
+        if word.kind == Kind.PING:
+            last = self.others.get(word.about)
+            gap = -1 if last is None or last.datagram_at is None else (now - last.datagram_at) // MS
+            self._send(now, member.name, Kind.ACK, word.number, word.about, gap, sure)
+        elif word.kind == Kind.ASK and word.about in self.others:
+            self._relay(now, member.name, word)
+        elif word.kind in (Kind.ACK, Kind.NACK):
+            self._answered(now, member.name, word, sure)
+
+    def _relay(self, now: int, asker: str, word: Word) -> None:
+        """Probe another in the asker's place; the asker hears at once that this gateway is there itself."""
+        self._number += 1
+        self._relays[self._number] = asker, word.number, now
+        while len(self._relays) > 4 * len(self.others):
+            del self._relays[next(iter(self._relays))]
+        self._send(now, word.about, Kind.PING, self._number, asker)
+        self._send(now, asker, Kind.NACK, word.number, word.about)
+
+    def _told(self, now: int, news: News) -> None:
+        """Take what another passed on."""
+        try:
+            standing = news.standing()
+        except ValueError:
+            self.dropped["bad state"] += 1
+            return
+        if news.name == self.name:
+            self._about_self(standing)
+            return
+        member = self.others.get(news.name)
+        if member is None:
+            self.dropped["foreign"] += 1
+            return
+        self._learn(now, member, standing, news.by)
+
+    def _about_self(self, told: Standing) -> None:
+        if told.start > self.own.start:
+            self._condemn("a later process has this gateway's name")
+        elif told.start == self.own.start and told.state is State.DEAD and told > self.own:
+            self._condemn("the others hold this process for dead")
+        after = refuted(self.own, told)
+        if self.own.state is not State.LEFT and after != self.own:
+            self.own = after
+            self.slow = min(MOST_SLOW, self.slow + 1)
+
+    def _condemn(self, why: str) -> None:
+        if not self.condemned:
+            self.condemned = why
+            self._out.append(Noted("condemned", why))
+
+    def _learn(self, now: int, member: Member, told: Standing, by: str) -> None:
+        if told.state is State.SUSPECTED:
+            self._accuse(now, member, told, by)
+            return
+        if merge(member.standing, told) == member.standing:
+            return
+        proofs = {
+            State.ALIVE: Proof.HEARD,
+            State.UNREACHABLE: Proof.CONFIRMED,
+            State.LEFT: Proof.LEFT,
+            State.DEAD: Proof.REFUSED,
+        }
+        self._set(now, member, told, proofs[told.state])
+
+    # Standing
+
+    def _proved(self, now: int, event: Refused | Forget) -> None:
+        """Take a proof that a process is over.
+
+        A refusal is about the process that was known when the word left, and only where nothing was heard of
+        it since: it may come late, when the next process answers already.
+        """
+        member = self.others[event.name]
+        if member.standing.state is State.DEAD:
+            return
+        order = isinstance(event, Forget)
+        told = Standing(member.standing.start, member.standing.incarnation, State.DEAD)
+        if isinstance(event, Refused):
+            told = refused(member.standing, event.start)
+            if told == member.standing or (member.heard_at is not None and member.heard_at >= event.at):
+                return
+        if self._probe is not None and self._probe.target == member.name:
+            self._probe = None
+        self._set(now, member, told, Proof.ORDER if order else Proof.REFUSED)
+
+    def _set(self, now: int, member: Member, standing: Standing, proof: Proof) -> None:
+        changed = proof is not member.proof or standing.start != member.standing.start
+        member.standing, member.proof = standing, proof
+        self._hot[member.name] = 0
+        if changed:
+            member.since = now
+            self._out.append(Changed(member.name, proof, standing.start, tuple(sorted(member.observers))))
--- /dev/null
+++ b/mintmast/decisions/gateways/words.py
@@ -0,0 +1,85 @@
+"""What gateways say to each other about who is there: one datagram a word, and a window against replays."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+import msgspec
+
+from mintmast.decisions.gateways.standing import Standing, State
+
+# news in one word: with names of 64 bytes still one datagram of 1,200, which every path takes whole
+MOST_NEWS = 11
+# words of one sender that may overtake each other; what is older is dropped
+REORDERED = 64
+
+
+class Kind(IntEnum):
+    """What a word wants."""
+
+    PING = 0  # to be answered by an ACK under the same number
+    ACK = 1
+    ASK = 2  # to ping `about` in the sender's place; answered by an ACK or a NACK
+    NACK = 3  # asked, and heard nothing either
+    LEAVE = 4  # the sender ends
+
+
+class News(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """How a gateway stands, as `by` tells; `by` matters where it is suspected."""
+
+    name: str
+    start: int
+    incarnation: int
+    state: int
+    by: str = ""
+
+    def standing(self) -> Standing:
+        """Give it for merging. Raises ValueError for a state that there is not."""
+        return Standing(self.start, self.incarnation, State(self.state))
+
+
+class Word(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One datagram. `seq` counts the sender's words of this start; `number` is that of the probe.
+
+    `about` is whom an ASK, its answer, or a PING in another's place is for. `gap` in an answer is how many ms
+    ago its writer last heard `about` itself, -1 for never: so two learn which way their path is broken.
+    """
+
+    kind: int
+    sender: str
+    start: int
+    incarnation: int
+    seq: int
+    number: int
+    about: str = ""
+    gap: int = -1
+    news: tuple[News, ...] = ()
+
+
+class Window:
+    """Which words of a sender came already: the highest number, and a bit for each of those under it.
+
+    Danger: whoever records datagrams could make a gateway that has died look alive by sending them again.
+    """
+
+    __slots__ = ("bits", "high", "start")
+
+    def __init__(self) -> None:
+        self.start = self.high = self.bits = 0
+
+    def take(self, start: int, seq: int) -> bool:
+        """Book a word; False for one that came before, or is too old to tell. A later start begins anew."""
+        if start < self.start or seq <= 0:
+            return False
+        if start > self.start:
+            self.start, self.high, self.bits = start, 0, 0
+        ahead = seq - self.high
+        if ahead > 0:
+            self.bits = (self.bits << min(ahead, REORDERED) | 1) & ((1 << REORDERED) - 1)
+            self.high = seq
+            return True
+        bit = 1 << -ahead
+        if -ahead >= REORDERED or self.bits & bit:
+            return False
+        self.bits |= bit
+        return True
--- a/mintmast/gateway.py
+++ b/mintmast/gateway.py
@@ -13,12 +13,13 @@
 from mintmast.config import Config
 from mintmast.core import Core
 from mintmast.decide import Controller
+from mintmast.decisions.gateways.standing import Proof
 from mintmast.fronts.dash import DashFront
 from mintmast.hosts.media import MediaHosts
 from mintmast.http.client import ClientLimits
 from mintmast.http.server import Exchange, HttpServer
 from mintmast.loop import Loop
-from mintmast.peers import PeerLines
+from mintmast.peers import PeerLines, Roster
 from mintmast.sources.eureka import Registration
 from mintmast.sources.fixed import FixedList, SavedList
 from mintmast.sources.merged import MergedList
@@ -36,6 +37,12 @@
     within_s: float | None = None
 
 
+class ForgetOrder(msgspec.Struct):
+    """An operator's word that a gateway is gone for good."""
+
+    name: str
+
+
 class Gateway:
     """One gateway on a loop. `say(event, **fields)` takes log lines; `table` is for drills that mutate it."""
 
@@ -91,10 +98,9 @@
             if "peers" in config.raw
             else (),
         )
-        self.peers = None
+        self.peers, self.roster = None, None
         if "peers" in config.raw:
-            self.peers = self._peers(config["peers"], start)
-            self.core.peers = self.peers
+            self._meet(config["peers"], start, seed)
         self.dash = DashFront(loop, config, self.core)
         self.admin = None
         if "admin" in config.raw:
@@ -113,14 +119,19 @@
         self.core.begin()
         self.say("serving", port=self.dash.server.port, start=start, hosts=len(config.entries))
 
-    def _peers(self, told: dict[str, Any], start: int) -> PeerLines:
+    def _meet(self, told: dict[str, Any], start: int, seed: int) -> None:
+        """Open the ways to the other gateways."""
         members = {}
         for each in told["members"]:
             host, _, port = each["address"].rpartition(":")
             members[each["name"]] = host, int(port)
         name = self.config["gateway"]
         listen = told.get("listen", {}).get("host", members[name][0]), members[name][1]
-        return PeerLines(self.loop, name, start, members, told["secrets"], told["skew_s"], self.core, listen)
+        secrets = told["secrets"]
+        peers = PeerLines(self.loop, name, start, members, secrets, told["skew_s"], self.core, listen)
+        self.peers = self.core.peers = peers
+        self.roster = Roster(self.loop, name, start, members, secrets, listen, seed, self.say)
+        peers.roster = self.roster.called
 
     def say(self, event: str, **fields: Any) -> None:
         """Pass a log event to the log, the metrics and the traces."""
@@ -129,7 +140,7 @@
             listener(event, fields)
 
     def _administer(self, exchange: Exchange) -> None:
-        if exchange.path in ("/v1/drains", "/v1/moves", "/v1/sources"):
+        if exchange.path in ("/v1/drains", "/v1/moves", "/v1/sources", "/v1/members", "/v1/members/forget"):
             self._operate(exchange)
             return
         if exchange.path != "/metrics":
@@ -137,6 +148,8 @@
             return
         self.metrics.held.set(self.core.book.held)
         self.metrics.late.set(self.core.book.set_ups.late)
+        if self.roster is not None:
+            self.metrics.roster(self.roster.state(), [each.name.lower() for each in Proof])
         exchange.respond(200, [("Content-Type", "text/plain; version=0.0.4")], self.metrics.text())
 
     def _operate(self, exchange: Exchange) -> None:
@@ -150,10 +163,30 @@
         elif exchange.path == "/v1/sources" and exchange.method == "GET":
             told = self.list.state() if isinstance(self.list, MergedList) else {}
             exchange.respond(200, [("Content-Type", "application/json")], msgspec.json.encode(told))
+        elif exchange.path == "/v1/members" and exchange.method == "GET":
+            told = self.roster.state() if self.roster is not None else {}
+            exchange.respond(200, [("Content-Type", "application/json")], msgspec.json.encode(told))
+        elif exchange.path == "/v1/members/forget" and exchange.method == "POST":
+            self._forget(exchange)
         elif exchange.path == "/v1/drains" and exchange.method == "POST":
             self._drain(exchange)
         else:
-            exchange.problem(405, "POST /v1/drains, GET /v1/moves")
+            exchange.problem(
+                405, "POST /v1/drains, /v1/members/forget, GET /v1/moves, /v1/sources, /v1/members"
+            )
+
+    def _forget(self, exchange: Exchange) -> None:
+        try:
+            order = msgspec.json.decode(exchange.body, type=ForgetOrder)
+        except msgspec.DecodeError as error:
+            exchange.problem(400, f"not an order to forget: {error}")
+            return
+        if self.roster is None or not self.roster.forget(order.name):
+            exchange.problem(404, f"{order.name} is no other gateway of this region")
+            return
+        exchange.respond(
+            200, [("Content-Type", "application/json")], msgspec.json.encode(self.roster.state())
+        )
 
     def _drain(self, exchange: Exchange) -> None:
         try:
@@ -193,7 +226,8 @@
         self.dash.server.close()
         if self.registration is not None:
             self.registration.cancel()
-        if self.peers is not None:
+        if self.peers is not None and self.roster is not None:
+            self.roster.close()
             self.peers.close()
         if self.admin is not None:
             self.admin.close()
--- a/mintmast/loop/base.py
+++ b/mintmast/loop/base.py
@@ -87,6 +87,16 @@
         """Accept no more."""
 
 
+class Datagrams(Protocol):
+    """A port for datagrams, which may be lost, doubled, late and out of order."""
+
+    def send(self, data: bytes, to: tuple[str, int]) -> None:
+        """Send one; nothing is told of its fate."""
+
+    def close(self) -> None:
+        """Send and take no more."""
+
+
 class Loop(Protocol):
     """Clock, timers and network as handed to every part."""
 
@@ -110,6 +120,9 @@
     def connect(self, host: str, port: int, handler: Handler, limits: Limits = ...) -> Stream:
         """Begin to connect; `handler` hears `opened` or `closed`, never before this returns."""
 
+    def datagrams(self, host: str, port: int, take: Callable[[bytes, tuple[str, int]], Any]) -> Datagrams:
+        """Take and send datagrams at an address; `take` hears each with its sender. Raises OSError."""
+
 
 class Timer:
     """A call to come; `cancel` may be called at any time."""
--- a/mintmast/loop/memory.py
+++ b/mintmast/loop/memory.py
@@ -27,6 +27,7 @@
         self.nodes: dict[str, Node] = {}
         self.cuts: set[tuple[str, str]] = set()
         self.slow: dict[tuple[str, str], int] = {}  # µs more, one way
+        self.lost = self.doubled = 0.0  # parts of all datagrams
         self._timers = Timers()
 
     def node(self, name: str) -> Node:
@@ -63,6 +64,7 @@
         self.alive = True
         self.frozen: list[tuple[Callable[..., Any], tuple[Any, ...]]] | None = None
         self._listeners: dict[int, _Listener] = {}
+        self._ports: dict[int, _Port] = {}
         self._streams: dict[_End, None] = {}
         self._port = 20_000
         self.longest_turn = self.turns = 0
@@ -115,6 +117,7 @@
         for end in list(self._streams):
             end.break_off()
         self._listeners.clear()
+        self._ports.clear()
         self._streams.clear()
 
     def listen(
@@ -145,6 +148,13 @@
             self.world.at(self.now() + there, self._knock, ours, host, port, back)
         return ours
 
+    def datagrams(self, host: str, port: int, take: Callable[[bytes, tuple[str, int]], Any]) -> _Port:
+        """Take and send datagrams; the host name is the node's."""
+        if port in self._ports:
+            raise OSError(f"datagram port {port} of {self.name} is taken")
+        bound = self._ports[port] = _Port(self, port, take)
+        return bound
+
     def _knock(self, ours: _End, host: str, port: int, back: int) -> None:
         target = self.world.nodes.get(host)
         listener = target._listeners.get(port) if target is not None and target.alive else None
@@ -167,6 +177,29 @@
         self._node._listeners.pop(self.port, None)
 
 
+class _Port:
+    """A port for datagrams."""
+
+    def __init__(self, node: Node, port: int, take: Callable[[bytes, tuple[str, int]], Any]) -> None:
+        self.node, self.port, self._take = node, port, take
+
+    def send(self, data: bytes, to: tuple[str, int]) -> None:
+        world = self.node.world
+        for _ in range(1 + (world.random.random() < world.doubled)):
+            delay = world.delay(self.node.name, to[0])
+            if delay is not None and world.random.random() >= world.lost:
+                world.at(world.time + delay, self._arrive, bytes(data), to)
+
+    def _arrive(self, data: bytes, to: tuple[str, int]) -> None:
+        target = self.node.world.nodes.get(to[0])
+        port = target._ports.get(to[1]) if target is not None else None
+        if target is not None and port is not None:
+            target.do(port._take, data, (self.node.name, self.port))
+
+    def close(self) -> None:
+        self.node._ports.pop(self.port, None)
+
+
 class _End:
     """One side of a connection."""
 
--- a/mintmast/loop/real.py
+++ b/mintmast/loop/real.py
@@ -19,6 +19,8 @@
 _IN_PROGRESS = {errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EAGAIN}
 # accepts of one listener in one turn: enough to empty a burst soon, few enough to let others run
 _ACCEPTS = 64
+# datagrams of one port in one turn, and bytes of one at the most: longer ones are cut and then not understood
+_DATAGRAMS, _DATAGRAM = 64, 2048
 # allocations between looks for garbage in rings: the youngest generation, then how many of each before the
 # next. The loop's objects are freed by their counts; a full look over a gateway's heap stops the loop for 50
 # to 100 ms
@@ -97,6 +99,10 @@
             stream.watch()
         return stream
 
+    def datagrams(self, host: str, port: int, take: Callable[[bytes, tuple[str, int]], Any]) -> _Port:
+        """Take and send datagrams at an address. Raises OSError."""
+        return _Port(self, host, port, take)
+
     def stop(self) -> None:
         """End `run` after this turn."""
         self._stopping = True
@@ -193,6 +199,44 @@
             self._sock.close()
 
 
+class _Port:
+    def __init__(
+        self, loop: SelectorLoop, host: str, port: int, take: Callable[[bytes, tuple[str, int]], Any]
+    ) -> None:
+        self._loop, self._take = loop, take
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._sock = socket.socket(family, socket.SOCK_DGRAM)
+        try:
+            self._sock.bind((host, port))
+        except OSError:
+            self._sock.close()
+            raise
+        self._sock.setblocking(False)
+        self.port: int = self._sock.getsockname()[1]
+        loop._selector.register(self._sock, selectors.EVENT_READ, self._ready)
+
+    def send(self, data: bytes, to: tuple[str, int]) -> None:
+        try:
+            self._sock.sendto(data, to)
+        except OSError:  # full, or nobody there: the same as lost
+            pass
+
+    def _ready(self, mask: int) -> None:
+        for _ in range(_DATAGRAMS):
+            try:
+                data, peer = self._sock.recvfrom(_DATAGRAM)
+            except BlockingIOError:
+                return
+            except OSError:  # told of an earlier one that found nobody; the next may be good
+                continue
+            self._loop.guard(self._take, data, peer[:2])
+
+    def close(self) -> None:
+        if self._sock.fileno() >= 0:
+            self._loop._selector.unregister(self._sock)
+            self._sock.close()
+
+
 class _Stream:
     def __init__(
         self,
--- a/mintmast/peers/__init__.py
+++ b/mintmast/peers/__init__.py
@@ -1,5 +1,6 @@
 """What gateways of a region say to each other."""
 
 from mintmast.peers.lines import PeerLines
+from mintmast.peers.roster import Roster
 
-__all__ = ["PeerLines"]
+__all__ = ["PeerLines", "Roster"]
--- a/mintmast/peers/lines.py
+++ b/mintmast/peers/lines.py
@@ -20,6 +20,7 @@
 from mintmast.http.client import Address, ClientLimits, Fault, HttpClient, Reply
 from mintmast.http.server import Exchange, HttpServer, ServerLimits
 from mintmast.loop import Loop
+from mintmast.peers import roster
 
 PATH = "/v1/peers"
 MAC = "mintmast-mac"
@@ -72,6 +73,7 @@
         self._secrets = [each.encode() for each in secrets]
         self._list = hashlib.blake2b(" ".join(sorted(members)).encode(), digest_size=8).hexdigest()
         self._events = events
+        self.roster: Callable[[bytes], bytes | None] | None = None  # answers words of membership
         self._out = dict.fromkeys(members, 0)
         self._client = HttpClient(loop, ClientLimits(idle_each=32, body_bytes=1 << 20), f"mintmast/{gateway}")
         limits = ServerLimits(connections=64 * (len(members) + 1), body_bytes=4096, idle_time=60_000_000)
@@ -150,6 +152,13 @@
     # Answers
 
     def _handle(self, exchange: Exchange) -> None:
+        if exchange.path == roster.PATH and exchange.method == "POST" and self.roster is not None:
+            told = self.roster(exchange.body)
+            if told is None:
+                exchange.problem(401, "not a word that wants an answer")
+            else:
+                exchange.respond(200, [("Content-Type", "application/octet-stream")], told)
+            return
         if exchange.path != PATH or exchange.method != "POST":
             exchange.problem(404, "no such path")
             return
--- a/mintmast/telemetry/metrics.py
+++ b/mintmast/telemetry/metrics.py
@@ -35,6 +35,27 @@
             "mintmast_late_starts", "sessions started after they were given up", registry=self.registry
         )
 
+        self.members = Gauge(
+            "mintmast_members", "other gateways by how they stand", ["stands"], registry=self.registry
+        )
+        self.steady = Gauge(
+            "mintmast_members_steady",
+            "1 where it may judge by time gone by",
+            registry=self.registry,
+        )
+        self.dropped = Gauge(
+            "mintmast_members_dropped", "words dropped since the start", ["why"], registry=self.registry
+        )
+
+    def roster(self, told: dict[str, Any], states: list[str]) -> None:
+        """Take what the gateway believes of the others."""
+        stands = [each["stands"] for each in told["members"].values()]
+        for state in states:
+            self.members.labels(state).set(stands.count(state))
+        self.steady.set(told["steady"])
+        for why, count in told["dropped"].items():
+            self.dropped.labels(why).set(count)
+
     def take(self, event: str, fields: dict[str, Any]) -> None:
         """Count a log event."""
         if event == "request":
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,372 @@
+"""Membership among gateways: the order of standings, the model, hard cases on virtual time, mutations."""
+
+import itertools
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mintmast.decisions.gateways import members, standing
+from mintmast.decisions.gateways.members import Forget, Heard, Members, Way
+from mintmast.decisions.gateways.standing import (
+    CONCLUSIONS,
+    Proof,
+    Standing,
+    State,
+    live_counts,
+    merge,
+    refused,
+    refuted,
+)
+from mintmast.decisions.gateways.words import Kind, News, Window, Word
+from mintmast.lab.crowd import Audit, Crowd, weather
+
+STANDINGS = st.builds(Standing, st.integers(0, 3), st.integers(0, 3), st.sampled_from(State))
+# s after the last fault in which all must believe the same: a round of probes of five gateways, a
+# suspicion, its refutation, and as much again for slowness learnt meanwhile
+SETTLED = 10
+
+
+@given(st.lists(STANDINGS, min_size=1, max_size=6), st.randoms())
+def test_words_in_any_order_and_number_end_in_one_standing(told, rng):
+    again = told + rng.choices(told, k=4)
+    rng.shuffle(again)
+    ends = []
+    for words in (told, again):
+        held = Standing()
+        for each in words:
+            held = merge(held, each)
+        ends.append(held)
+    assert ends[0] == ends[1]
+
+
+@given(STANDINGS, st.integers(1, 3))
+def test_what_is_said_of_a_living_start_is_outdone_by_its_own_word(told, start):
+    own = refuted(Standing(start, 0, State.ALIVE), told)
+    if told.start <= start:
+        assert merge(own, told) == own and own.state is State.ALIVE
+
+
+@given(st.lists(st.integers(1, 200), max_size=300))
+def test_no_word_is_taken_twice(numbers):
+    window, seen = Window(), set()
+    for each in numbers:
+        taken = window.take(7, each)
+        assert not (taken and each in seen)
+        if taken:
+            seen.add(each)
+    assert window.take(8, 1) and not window.take(7, 10**6)
+
+
+# The model: observers A and B, subject X. Every word that was ever told may come at any time, any number of
+# times, or never; X may be stopped, may die and start again once; a refusal may be late. The observers' steps
+# are those of `Members`, with the functions that it uses.
+# State: X (start, incarnation, how it is), what A and B hold (standing, who hears nothing), refusals under
+# way to each (the start that was known), every word ever told.
+ALIVE = Standing(1, 0, State.ALIVE)
+
+
+def steps(state, most):
+    (start, inc, mode), held, refusals, facts = state
+    own = Standing(start, inc, State.ALIVE)
+    if mode == "up":
+        yield (start, inc, "stopped"), held, refusals, facts
+        yield (start, inc, "down"), held, refusals, facts
+        for told in facts:
+            after = refuted(own, told)
+            if after != own and after.incarnation <= most:
+                yield (start, after.incarnation, mode), held, refusals, facts | {after}
+    elif mode == "stopped":
+        yield (start, inc, "up"), held, refusals, facts
+        yield (start, inc, "down"), held, refusals, facts
+    elif start == 1:
+        again = Standing(2, 0, State.ALIVE)
+        yield (2, 0, "up"), held, refusals, facts | {again}
+    for place, (known, silent) in enumerate(held):
+
+        def put(told, who, refusals=refusals, place=place):
+            return (
+                (start, inc, mode),
+                held[:place] + ((told, who),) + held[place + 1 :],
+                refusals,
+                facts | {told},
+            )
+
+        for told in facts:
+            if merge(known, told) != known:
+                yield put(told, frozenset("?") if told.state is State.SUSPECTED else frozenset())
+        suspected = Standing(known.start, known.incarnation, State.SUSPECTED)
+        if known.start and merge(known, suspected) == suspected and "me" not in silent:
+            yield put(suspected, (silent if known == suspected else frozenset()) | {"me"})
+        if known == suspected == held[1 - place][0] and "me" in held[1 - place][1]:
+            yield put(suspected, silent | {"the other"})
+        if known == suspected and len(silent) >= 2:
+            yield put(Standing(known.start, known.incarnation, State.UNREACHABLE), frozenset())
+        if mode == "down" and refusals[place] is None and known.start:
+            yield (start, inc, mode), held, refusals[:place] + (known.start,) + refusals[place + 1 :], facts
+        if refusals[place] is not None:
+            after = refusals[:place] + (None,) + refusals[place + 1 :]
+            yield (start, inc, mode), held, after, facts
+            if refused(known, refusals[place]) != known:
+                yield put(refused(known, refusals[place]), frozenset(), after)
+
+
+def that_matters(state):
+    """Take out words that can change nothing any more, whenever they come."""
+    (start, inc, mode), held, refusals, facts = state
+    least = min([known for known, _ in held] + [Standing(start, inc, State.ALIVE)])
+    alike = sorted(zip(held, refusals, strict=True), key=repr)  # the observers are
+    held, refusals = zip(*alike, strict=True)
+    return (start, inc, mode), held, refusals, frozenset(told for told in facts if told > least)
+
+
+def walk(most=1):
+    """Walk all states up to an incarnation; with 2 there are 80,194, played by hand."""
+    first = (1, 0, "up"), ((ALIVE, frozenset()),) * 2, (None, None), frozenset({ALIVE})
+    seen, front = {first}, [first]
+    while front:
+        state = front.pop()
+        (start, inc, mode), held, _, facts = state
+        for known, _ in held:
+            gone = known.state is State.DEAD
+            assert not (gone and known.start == start and mode != "down"), f"dead, but lives: {state}"
+        if mode == "up" and inc < most:  # once all is heard, all know that it lives
+            own = Standing(start, inc, State.ALIVE)
+            for told in sorted(facts):
+                own = refuted(own, told)
+            assert max(facts | {own}) == own, f"it cannot be heard any more: {state}"
+        for after in map(that_matters, steps(state, most)):
+            if after not in seen:
+                seen.add(after)
+                front.append(after)
+    return seen
+
+
+def test_every_state_of_two_observers_and_a_subject():
+    seen = walk()
+    print(f"{len(seen)} states")
+    assert {known.state for _, held, _, _ in seen for known, _ in held} == set(State) - {State.LEFT}
+
+
+WRONG = {
+    "no refutation": ("refuted", lambda own, told: own),
+    "a late refusal counts": (
+        "refused",
+        lambda held, start: Standing(held.start, held.incarnation, State.DEAD),
+    ),
+}
+
+
+@pytest.mark.parametrize("fault", WRONG)
+def test_the_model_finds_a_wrong_machine(monkeypatch, fault):
+    monkeypatch.setitem(globals(), *WRONG[fault])
+    with pytest.raises(AssertionError):
+        walk()
+
+
+# The table
+
+
+def test_only_proofs_make_a_gateway_gone_and_silence_takes_away_nothing_but_trust():
+    gone = {proof for proof, row in CONCLUSIONS.items() if row.gone}
+    assert gone == {Proof.REFUSED, Proof.LATER_START, Proof.ORDER} and set(CONCLUSIONS) == set(Proof)
+    for proof, row in CONCLUSIONS.items():
+        assert row.may_own == row.may_spend or proof is Proof.LEFT
+        assert row.may_own is not row.gone  # keys are free again only with a proof
+    assert live_counts([Proof.HEARD, Proof.CONFIRMED, Proof.REFUSED]) == (3, 2)
+
+
+# Hard cases on virtual time
+
+
+def crowd_of(count=5, seed=1, **more):
+    crowd = Crowd(count, seed, **more)
+    crowd.run(8)
+    assert crowd.agree() and all(part.steady for part in crowd.parts.values())
+    return crowd, Audit(crowd, SETTLED)
+
+
+def settle(crowd, audit):
+    crowd.run(SETTLED)
+    assert crowd.agree(), {name: crowd.view(name) for name in crowd.parts}
+    assert audit.checked and not audit.faults, audit.faults[:3]
+
+
+@pytest.mark.parametrize("way", [("g0", "g1"), ("g1", "g0"), ("g2", "g4")])
+def test_a_path_cut_one_way_changes_no_view_and_is_told_of(way):
+    crowd, audit = crowd_of()
+    crowd.changes.clear()
+    crowd.cut(*way)
+    crowd.run(30)
+    assert not [each for _, _, each in crowd.changes if each.proof is Proof.CONFIRMED]
+    source, target = way
+    assert crowd.parts[source].others[target].way is Way.NOT_HEARD
+    assert crowd.parts[target].others[source].way is Way.NOT_HEARING
+    crowd.cut(*way, False)
+    settle(crowd, audit)
+    crowd.run(30)
+    assert {m.way for part in crowd.parts.values() for m in part.others.values()} == {Way.WHOLE}
+
+
+def test_a_gateway_heard_by_half_stays_in_every_view():
+    crowd, audit = crowd_of()
+    crowd.changes.clear()
+    for target in ("g1", "g2"):
+        crowd.cut("g0", target)
+    crowd.run(60)
+    assert not [each for _, _, each in crowd.changes if each.proof is Proof.CONFIRMED]
+    settle(crowd, audit)
+
+
+def test_a_gateway_that_hears_all_and_is_heard_by_none_ends_in_one_view():
+    crowd, audit = crowd_of()
+    for target in crowd.names[1:]:
+        crowd.cut("g0", target)
+    crowd.run(10)
+    crowd.changes.clear()
+    crowd.run(60)
+    assert not crowd.changes  # no flapping
+    assert {crowd.view(name)["g0"] for name in crowd.names[1:]} == {Proof.CONFIRMED}
+    assert {m.way for m in crowd.parts["g0"].others.values()} == {Way.NOT_HEARD}
+    crowd.cuts.clear()
+    settle(crowd, audit)
+
+
+def test_a_flapping_path_and_a_fifth_of_all_datagrams_lost_take_out_nobody():
+    crowd, audit = crowd_of()
+    crowd.changes.clear()
+    draw, at = random.Random(1), 0.0
+    while at < 60:
+        crowd.at(at, crowd.cut, "g0", "g1")
+        crowd.at(at, crowd.cut, "g1", "g0")
+        at += draw.uniform(0.3, 3)
+        crowd.at(at, crowd.cuts.clear)
+        at += draw.uniform(0.3, 3)
+    crowd.run(65)
+    crowd.loss = 0.2
+    crowd.run(60)
+    assert not [each for _, _, each in crowd.changes if each.proof is Proof.CONFIRMED]
+    crowd.loss = 0.0
+    settle(crowd, audit)
+
+
+@pytest.mark.parametrize("span", [0.2, 1, 5, 30])
+def test_a_stopped_gateway_accuses_nobody_when_it_goes_on(span):
+    crowd, audit = crowd_of()
+    crowd.stop("g0")
+    crowd.run(span)
+    crowd.changes.clear()
+    crowd.go_on("g0")
+    assert span < 1 or not crowd.parts["g0"].steady
+    settle(crowd, audit)
+    mine = [each for _, name, each in crowd.changes if name == "g0"]
+    assert not mine and crowd.parts["g0"].steady
+
+
+def test_all_but_one_stopped_and_continued():
+    crowd, audit = crowd_of()
+    for name in crowd.names[1:]:
+        crowd.stop(name)
+    crowd.run(12)
+    assert not [each for each in crowd.view("g0").values() if CONCLUSIONS[each].gone]
+    for name in crowd.names[1:]:
+        crowd.go_on(name)
+    settle(crowd, audit)
+
+
+@pytest.mark.parametrize("order", list(itertools.permutations(("g0", "g2", "g4")))[::2])
+def test_three_of_five_killed_at_once_and_returning_in_any_order(order):
+    crowd, audit = crowd_of()
+    for name in order:
+        crowd.kill(name)
+    crowd.run(6)
+    assert {crowd.view("g1")[name] for name in order} == {Proof.REFUSED}
+    for wait, name in enumerate(order):
+        crowd.at(wait * 0.7, crowd.start, name)
+    crowd.run(3)
+    settle(crowd, audit)
+
+
+def test_a_machine_that_vanishes_is_never_gone_until_an_operator_says_so():
+    crowd, audit = crowd_of()
+    crowd.vanish("g3")
+    crowd.run(120)
+    assert {crowd.view(name)["g3"] for name in crowd.parts} == {Proof.CONFIRMED}
+    part = crowd.parts["g0"]
+    assert part.counts() == (5, 4) and part.conclusion("g3").may_own
+    crowd._carry("g0", part.take(crowd.now, Forget("g3")))
+    crowd.run(5)
+    assert all(CONCLUSIONS[crowd.view(name)["g3"]].gone for name in crowd.parts)
+    crowd.start("g3")
+    settle(crowd, audit)
+
+
+def test_two_processes_of_one_name_the_earlier_one_is_told_and_votes_no_more():
+    crowd, _ = crowd_of(3)
+    part, later = crowd.parts["g0"], crowd.parts["g0"].own.start + 5
+    crowd._take("g1", crowd._lives["g1"], Heard(Word(Kind.PING, "g0", later, 0, 1, 1)))
+    crowd.run(3)
+    assert part.condemned and not part.steady
+    assert crowd.parts["g2"].proof("g0", part.own.start) is Proof.LATER_START
+
+
+def test_two_hundred_gateways_that_start_at_once_make_no_storm_and_know_each_other():
+    crowd = Crowd(200, 1)
+    crowd.run(1)
+    assert max(crowd.sent.values()) < 40
+    crowd.run(13)
+    assert crowd.agree() and all(part.steady for part in crowd.parts.values())
+
+
+def test_words_that_are_old_doubled_foreign_or_odd_change_nothing():
+    part = Members("a", 5, ("a", "b", "c"), random.Random(1))
+    good = Word(Kind.PING, "b", 9, 0, 1, 1, news=(News("c", 4, 0, 9), News("x", 1, 0, 0)))
+    assert part.take(0, Heard(good)) and part.proof("b") is Proof.HEARD
+    for word in (good, Word(Kind.PING, "b", 8, 0, 7, 1), Word(Kind.PING, "x", 1, 0, 1, 1)):
+        assert part.take(0, Heard(word)) == []
+    assert part.dropped == {"foreign": 2, "old": 1, "doubled": 1, "bad state": 1}
+
+
+def play(seed, count=5):
+    crowd = Crowd(count, seed)
+    crowd.run(8)
+    audit = Audit(crowd, SETTLED)
+    weather(crowd, seed, 40)
+    crowd.run(41)
+    crowd.cuts.clear()
+    crowd.run(SETTLED)
+    if not crowd.agree():
+        audit.faults.append(f"no one view: { {name: crowd.view(name) for name in crowd.parts} }")
+    return audit
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_in_random_weather_nothing_alive_is_gone_and_one_view_comes_out(seed):
+    audit = play(seed)
+    assert audit.checked and not audit.faults, audit.faults[:3]
+
+
+MUTATIONS = {
+    "refutation off": (members, "refuted", lambda own, told: own),
+    "own pause ignored": (members, "STOOD_STILL", 10**15),
+    "unreachable taken for gone": (
+        standing,
+        "CONCLUSIONS",
+        {**CONCLUSIONS, Proof.CONFIRMED: CONCLUSIONS[Proof.REFUSED]},
+    ),
+}
+
+
+@pytest.mark.parametrize("fault", MUTATIONS)
+def test_a_defence_that_is_off_is_seen(monkeypatch, fault):
+    if fault == "own pause ignored":
+        monkeypatch.setattr(*MUTATIONS[fault])
+        with pytest.raises(AssertionError):
+            test_a_stopped_gateway_accuses_nobody_when_it_goes_on(5)
+        return
+    where, name, value = MUTATIONS[fault]
+    monkeypatch.setattr(where, name, value)
+    if name == "CONCLUSIONS":
+        monkeypatch.setattr("mintmast.lab.crowd.CONCLUSIONS", value)
+    assert any(play(seed).faults for seed in range(8))
--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,179 @@
+"""Membership on the network: sealed bytes, gateways in memory, processes of `mintmast serve`, commands."""
+
+import json
+import signal
+import time
+
+import pytest
+from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mintmast.cli import main
+from mintmast.decisions.gateways.standing import Proof
+from mintmast.decisions.gateways.words import MOST_NEWS, Kind, News, Word
+from mintmast.http.server import HttpServer
+from mintmast.lab.drills.day import Day, model
+from mintmast.lab.drills.day import settings as day_settings
+from mintmast.lab.stage import LoopbackStage, MemoryStage
+from mintmast.loop.memory import World
+from mintmast.peers.roster import MOST_BYTES, Roster
+
+SECRETS = ["a secret of thirty-two characters", "another one of thirty-two letters"]
+# s of real time that a process may take for what is waited for; nothing is judged by it
+PATIENCE = 40
+
+
+def roster(world=None, name="a", secrets=SECRETS):
+    world = world or World(1)
+    node = world.node(name)
+    members = {each: (each, 7946) for each in ("a", "b", "c")}
+
+    def called(exchange):
+        told = made.called(exchange.body)
+        exchange.respond(200, [], told) if told is not None else exchange.problem(401, "no")
+
+    HttpServer(node, name, 7946, called)
+    made = Roster(node, name, 1, members, secrets, (name, 7946), 1, lambda event, **fields: None)
+    return world, made
+
+
+def test_three_on_a_lossy_network_know_each_other_and_secrets_change_under_way():
+    world = World(1)
+    world.lost = world.doubled = 0.2
+    parts = [roster(world, name, SECRETS[:: -1 if name == "b" else 1])[1] for name in "abc"]
+    world.run(world.time + 10_000_000)
+    for part in parts:
+        assert {each["stands"] for each in part.state()["members"].values()} == {"heard"}
+        assert part.unsealed == 0 and part.members.dropped["doubled"]
+    parts[2]._secrets = [b"one that nobody else knows, alas, at all"]
+    world.run(world.time + 20_000_000)
+    assert parts[0].unsealed and parts[0].state()["members"]["c"]["stands"] == "confirmed"
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.binary(max_size=1500), st.integers(0, 200))
+def test_bytes_that_are_no_word_are_dropped_and_counted(data, cut):
+    _, part = roster()
+    good = part.seal(Word(Kind.PING, "b", 9, 0, 1, 1))
+    assert part.open(good) is not None
+    for bad in (data, good[: min(cut, len(good) - 1)], good + b"x"):
+        assert part.open(bad) is None
+    assert part.malformed + part.unsealed == 3
+
+
+def test_a_word_with_the_longest_names_is_still_one_datagram_and_keeps_some_news():
+    _, part = roster()
+    news = tuple(News(f"{n:0100}", 1 << 45, 1 << 20, 1, f"{n:0100}") for n in range(MOST_NEWS))
+    word = Word(Kind.ACK, "x" * 100, 1 << 45, 1 << 20, 1 << 40, 1 << 30, "y" * 100, 1 << 30, news)
+    data = part.seal(word)
+    assert len(data) <= MOST_BYTES and 0 < len(part.open(data).news) < MOST_NEWS
+
+
+def stage_of(kind, gateways=3, **more):
+    day = Day(gateways=gateways)
+    stage = kind(1, {**day_settings(day), **more}, model(day))
+    for number in range(2):
+        stage.start_host(number)
+    return stage
+
+
+def test_gateways_in_memory_tell_a_dead_process_from_a_cut_path():
+    stage = stage_of(MemoryStage)
+    try:
+        for number in range(3):
+            stage.start_gateway(number)
+        stage.begin()
+        stage.run(6)
+        stage.kill_gateway(1)
+        for end in ("gw0", "gw1"):
+            stage.world.cuts |= {(end, "gw2"), ("gw2", end)}
+        stage.run(16)
+        part = stage.gateways[0].roster.members
+        assert part.proof("gw1") is Proof.REFUSED and part.proof("gw2") is Proof.CONFIRMED
+        stage.world.cuts.clear()
+        stage.start_gateway(1)
+        stage.run(30)
+        for gateway in stage.gateways.values():
+            assert set(each.proof for each in gateway.roster.members.others.values()) == {Proof.HEARD}
+    finally:
+        stage.close()
+
+
+class Region:
+    """Processes of `mintmast serve`, asked as an operator asks."""
+
+    def __init__(self):
+        self.stage = stage_of(LoopbackStage)
+        self.admins = [f"{self.stage.address}:{self.stage._port(f'admin{n}')}" for n in range(3)]
+        for number in range(3):
+            host, _, port = self.admins[number].rpartition(":")
+            self.stage.settings["admin"] = {"host": host, "port": int(port), "token": "operators"}
+            self.stage.start_gateway(number)
+        self.stage.wait_for_gateways()
+
+    def ask(self, *args):
+        return CliRunner().invoke(main, ["members", *args], env={"MINTMAST_ADMIN_TOKEN": "operators"})
+
+    def told(self, number):
+        said = json.loads(self.ask("--admin", self.admins[number], "--json").stdout)
+        return {name: each["stands"] for name, each in said[0]["members"].items()} if said else {}
+
+    def until(self, number, **stands):
+        end = time.monotonic() + PATIENCE
+        while {name: self.told(number).get(name) for name in stands} != stands:
+            assert time.monotonic() < end, (self.told(number), stands)
+            self.stage.loop.run(self.stage.now() + 100_000)
+
+    def signal(self, number, what):
+        self.stage._processes[number].send_signal(what)
+
+
+@pytest.fixture(scope="module")
+def region():
+    made = Region()
+    yield made
+    made.stage.close()
+
+
+def test_processes_know_each_other_and_a_stopped_one_is_unreachable_and_never_gone(region):
+    region.until(0, gw1="heard", gw2="heard")
+    region.signal(2, signal.SIGSTOP)
+    try:
+        region.until(0, gw1="heard", gw2="confirmed")
+        region.until(1, gw0="heard", gw2="confirmed")
+    finally:
+        region.signal(2, signal.SIGCONT)
+    region.until(2, gw0="heard", gw1="heard")
+    region.until(0, gw1="heard", gw2="heard")
+    log = (region.stage.folder.name + "/gw2.log", region.stage.folder.name + "/gw0.log")
+    said = [json.loads(line) for line in open(log[0], encoding="utf-8")]
+    assert any(each["event"] == "membership" and each["what"] == "stood_still" for each in said)
+    assert not [e for e in said if e["event"] == "member" and e["stands"] == Proof.CONFIRMED.value]
+
+
+def test_a_killed_process_is_gone_by_its_machines_word_and_back_with_its_next_start(region):
+    region.until(0, gw1="heard", gw2="heard")
+    region.stage.kill_gateway(1)
+    region.until(0, gw1="refused")
+    region.until(2, gw0="heard", gw1="refused")
+    shown = region.ask("--admin", region.admins[0], "--admin", region.admins[2])
+    assert "gw1: refused" in shown.stdout
+    host, _, port = region.admins[1].rpartition(":")
+    region.stage.settings["admin"] = {"host": host, "port": int(port), "token": "operators"}
+    region.stage.start_gateway(1)
+    region.until(0, gw1="heard")
+    region.until(1, gw0="heard", gw2="heard")
+
+
+def test_an_operators_word_is_taken_only_when_confirmed(region):
+    refused = region.ask("forget", "gw2", "--admin", region.admins[0])
+    assert refused.exit_code == 2 and "charged twice" in refused.stderr
+    assert region.ask("forget", "nobody", "--yes", "--admin", region.admins[0]).exit_code == 1
+    assert region.ask("--admin", "nowhere").exit_code == 2
+
+
+def test_an_orderly_end_is_told(region):
+    region.until(0, gw1="heard")
+    region.signal(1, signal.SIGTERM)
+    region.until(0, gw1="left")
