--- a/mintmast/lab/crowd.py
+++ b/mintmast/lab/crowd.py
@@ -60,12 +60,12 @@
 
     # Faults
 
-    def start(self, name: str) -> None:
-        """Start a gateway's process, or start it anew."""
+    def start(self, name: str, number: int | None = None) -> None:
+        """Start a gateway's process, or start it anew; `number` where its clock gives another start."""
         self._lives[name] += 1
         self.held.pop(name, None)
         self.vanished.discard(name)
-        part = Members(name, self.now, self.names, random.Random(self.random.random()))
+        part = Members(name, number or self.now, self.names, random.Random(self.random.random()))
         self.parts[name] = part
         self._carry(name, part.begin(self.now))
 
