Membership told right: the pace of its probes; one way to change a standing, one reading of answers

A standing is changed by replace in all five places, a wake is set in one, a branch that could change nothing is gone, and mintmast members works out what each says of each once for the table and for its exit code.

--- a/benchmarks/detectors.py
+++ b/benchmarks/detectors.py
@@ -21,7 +21,8 @@
 from mintmast.decisions.gateways.standing import Proof
 from mintmast.lab.crowd import Crowd
 
-# s between heartbeats or probes, as in `members`; bytes of a sealed heartbeat with its headers
+# s between heartbeats or probes, as long as a failed probe in `members`, which probes on sooner after an
+# answered one; bytes of a sealed heartbeat with its headers
 EVERY, BEAT = 0.5, 100
 # mean s between pauses of one gateway, and their span
 PAUSES, PAUSE = 60.0, (0.5, 5.0)
--- a/mintmast/cli/members.py
+++ b/mintmast/cli/members.py
@@ -9,23 +9,31 @@
 from mintmast.cli.operate import administrative
 
 
+def _said(told: list[dict[str, Any]]) -> dict[str, dict[str, dict[str, Any]]]:
+    """Give, for each gateway by name, what each that answered says of it."""
+    names = sorted({name for each in told for name in (*each["members"], each["gateway"])})
+    return {
+        name: {each["gateway"]: each["members"][name] for each in told if name in each["members"]}
+        for name in names
+    }
+
+
+def _stands(said: dict[str, dict[str, Any]]) -> list[str]:
+    return sorted({about["stands"] for about in said.values()})
+
+
 def table(told: list[dict[str, Any]]) -> list[str]:
     """Give the lines of a table of what each gateway that answered says of each."""
-    names = sorted({name for each in told for name in (*each["members"], each["gateway"])})
     lines = []
-    for name in names:
-        said = {each["gateway"]: each["members"][name] for each in told if name in each["members"]}
-        stands = sorted({about["stands"] for about in said.values()})
+    for name, said in _said(told).items():
+        stands = _stands(said)
         faults = [
             f"{who}: {about['path']}" for who, about in sorted(said.items()) if about["path"] != "whole"
         ]
         line = f"{name}: {', '.join(stands) if stands else 'answers here'}"
         if len(stands) > 1:
-            line += (
-                " (THEY DISAGREE: "
-                + "; ".join(f"{w} says {a['stands']}" for w, a in sorted(said.items()))
-                + ")"
-            )
+            words = "; ".join(f"{who} says {about['stands']}" for who, about in sorted(said.items()))
+            line += f" (THEY DISAGREE: {words})"
         lines.append(line + (f" [path from {'; '.join(faults)}]" if faults else ""))
     for each in told:
         if each["condemned"]:
@@ -51,10 +59,7 @@
         print(json.dumps(told, sort_keys=True))
     else:
         print("\n".join(table(told)))
-    agree = all(
-        len({each["members"][name]["stands"] for each in told if name in each["members"]}) <= 1
-        for name in {name for each in told for name in each["members"]}
-    )
+    agree = all(len(_stands(said)) <= 1 for said in _said(told).values())
     return bad or (0 if agree else 1)
 
 
--- a/mintmast/decisions/gateways/members.py
+++ b/mintmast/decisions/gateways/members.py
@@ -13,7 +13,7 @@
 import math
 import random
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 import msgspec
@@ -32,9 +32,11 @@
 from mintmast.decisions.gateways.words import MOST_NEWS, Kind, News, Window, Word
 
 MS, SECOND = 1000, 1_000_000
-# µs between probes; two a second find a loss within the time that a paid viewer waits
+# µs that a probe has in all, first itself and then through others; half a second finds a loss within the time
+# that a paid viewer waits
 PERIOD = 500 * MS
-# µs for an answer before others are asked: a round trip in a region and a turn of a busy loop
+# µs for an answer before others are asked: a round trip in a region and a turn of a busy loop. The next probe
+# goes after so long where the last was answered, and after a whole period where it was not
 ANSWER = 150 * MS
 # who are asked to probe in this gateway's place, as in SWIM: with a fifth of all datagrams lost, all three
 # fail for a gateway that is well once in fourteen times
@@ -207,11 +209,13 @@
 
     def begin(self, now: int) -> list[Command]:
         """Start, at a random place in the first period: gateways that start together do not probe in step."""
-        return self._wake(now + self._random.randrange(PERIOD)) if self.others else []
+        if self.others:
+            self._wake(now + self._random.randrange(PERIOD))
+        return self._take_out()
 
     def leave(self, now: int) -> list[Command]:
         """Say that this gateway ends."""
-        self.own = Standing(self.own.start, self.own.incarnation, State.LEFT)
+        self.own = replace(self.own, state=State.LEFT)
         there = [each.name for each in self.others.values() if each.proof is Proof.HEARD]
         for name in self._random.sample(there, min(len(there), 2 * HELPERS)):
             self._send(now, name, Kind.LEAVE)
@@ -231,10 +235,9 @@
         out, self._out = self._out, []
         return out
 
-    def _wake(self, at: int) -> list[Command]:
+    def _wake(self, at: int) -> None:
         self._due = at
         self._out.append(WakeAt(at))
-        return self._take_out()
 
     # Time
 
@@ -252,8 +255,7 @@
             self._begin_probe(now)
         first = self._probe is not None and not self._probe.asked
         span = (ANSWER if first else PERIOD - ANSWER) * (1 + self.slow)
-        self._due = now + span
-        self._out.append(WakeAt(self._due))
+        self._wake(now + span)
 
     def _stood_still(self, now: int) -> None:
         """Take it that this process stood still: what others did meanwhile is not known.
@@ -264,9 +266,8 @@
         self._probe, self._wait, self._waits = None, set(), 0
         self.slow = min(MOST_SLOW, self.slow + 1)
         for member in self.others.values():
-            if member.proof is Proof.SILENT and self.name in member.observers:
-                member.observers.discard(self.name)
             if member.proof is Proof.SILENT:
+                member.observers.discard(self.name)
                 member.since = now
         self._out.append(Noted("stood_still"))
 
@@ -293,8 +294,7 @@
         heard = member.heard_at is not None and member.heard_at >= probe.at
         member.way = Way.NOT_HEARD if heard else Way.BROKEN
         if not heard and member.standing.state in (State.ALIVE, State.SUSPECTED):
-            told = Standing(member.standing.start, member.standing.incarnation, State.SUSPECTED)
-            self._accuse(now, member, told, self.name)
+            self._accuse(now, member, replace(member.standing, state=State.SUSPECTED), self.name)
 
     def _accuse(self, now: int, member: Member, told: Standing, by: str) -> None:
         """Book an observer's word that it hears nothing of a gateway."""
@@ -318,7 +318,7 @@
                 continue
             if len(member.observers) >= min(OBSERVERS, alive):
                 if now - member.since >= SUSPECTED_FOR * (1 + self.slow):
-                    told = Standing(member.standing.start, member.standing.incarnation, State.UNREACHABLE)
+                    told = replace(member.standing, state=State.UNREACHABLE)
                     self._set(now, member, told, Proof.CONFIRMED)
 
     # Probes
@@ -386,13 +386,12 @@
         self.slow = max(0, self.slow - 1)
         if sender == probe.target and not sure:
             member.answered += 1
-            if member.answered >= WHOLE_AFTER or member.way is Way.WHOLE:
+            if member.answered >= WHOLE_AFTER:
                 member.way = Way.WHOLE
             return
         member.answered = 0
-        came = (
-            0 <= word.gap * MS <= now - probe.at + ANSWER
-        )  # it heard the probe itself, not the answer's way
+        # whether it heard the probe itself, so that only its answer was lost
+        came = 0 <= word.gap * MS <= now - probe.at + ANSWER
         member.way = Way.NOT_HEARING if came else Way.NOT_HEARD
         if not came and (member.datagram_at is None or now - member.datagram_at > self._round()):
             member.way = Way.BROKEN
@@ -544,7 +543,7 @@
         if member.standing.state is State.DEAD:
             return
         order = isinstance(event, Forget)
-        told = Standing(member.standing.start, member.standing.incarnation, State.DEAD)
+        told = replace(member.standing, state=State.DEAD)
         if isinstance(event, Refused):
             told = refused(member.standing, event.start)
             if told == member.standing or (member.heard_at is not None and member.heard_at >= event.at):
--- a/mintmast/decisions/gateways/standing.py
+++ b/mintmast/decisions/gateways/standing.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum, IntEnum
 
 
@@ -51,7 +51,7 @@
 
     Danger: the refusal may come late, when the next process of the name answers already.
     """
-    return Standing(start, held.incarnation, State.DEAD) if start == held.start else held
+    return replace(held, state=State.DEAD) if start == held.start else held
 
 
 class Proof(Enum):
