A rig of processes with a link between every two, and drills of gateways' membership

Need: membership was proven on words alone and on three processes; faults between real processes were signals only.

Drills members and members-CASE play the same scripts in memory and on processes: stops, kills, vanished machines, a wrong clock, changed secrets, three of five killed.

--- a/mintmast/cli/demo.py
+++ b/mintmast/cli/demo.py
@@ -5,7 +5,7 @@
 from functools import partial
 
 from mintmast.lab.drills import FREE, PAID, Day, model, settings
-from mintmast.lab.stage import LoopbackStage
+from mintmast.lab.loopback import LoopbackStage
 from mintmast.player import Player, Report
 
 
--- a/mintmast/config/schema.py
+++ b/mintmast/config/schema.py
@@ -257,7 +257,7 @@
                     address=_text("where it listens for the others, HOST:PORT", pattern=ADDRESS),
                 ),
                 1,
-                64,
+                300,
                 "all gateways of the region, this one among them, the same list at each",
             ),
             listen=_obj("", host=_text("address to listen on, where it is not the one that others use")),
@@ -274,6 +274,12 @@
             ),
             skew_s=_num(1, 600, "seconds by which the gateways' clocks may differ", 30.0),
         ),
+        testing=_obj(
+            "",
+            wall_shift_s=_num(
+                -1e6, 1e6, "seconds by which the wall clock is taken to be wrong; for tests only", 0.0
+            ),
+        ),
         steering=_obj(
             "",
             ttl_s=_int(1, 3600, "players ask again where to go on after so long", 3),
--- a/mintmast/decisions/gateways/claims.py
+++ b/mintmast/decisions/gateways/claims.py
@@ -274,6 +274,10 @@
         """Tell whether this gateway votes on all keys that can be decided."""
         return self.covers.voting and not self.condemned
 
+    def state(self) -> dict[str, object]:
+        """Tell operators what this gateway does as a witness."""
+        return {"votes": self.voting, "records": len(self.witness), **self.covers.state()}
+
     def _vote(
         self, now: int, digest: str, owner: str, number: int, keep: int
     ) -> tuple[Vote, tuple[str, ...]]:
@@ -295,7 +299,7 @@
         self._look(now)
 
     def _look(self, now: int) -> None:
-        """Ask and tell the others what is due; the danger is a question that is lost and never asked again."""
+        """Ask and tell the others what is due. Danger: a question is lost, and never asked again."""
         if not self.covers.begun:
             return
         if self.covers.go_on(now) and not self._wakes_at:
--- a/mintmast/decisions/gateways/covers.py
+++ b/mintmast/decisions/gateways/covers.py
@@ -130,6 +130,14 @@
         """Name those without whose word there are keys that it does not vote on."""
         return list(self._waits())
 
+    def state(self) -> dict[str, object]:
+        """Tell operators whose word is waited for, who is held aside towards whom, who is covered here."""
+        held = {name: sorted(other.held) for name, other in self.others.items() if other.held}
+        here = {
+            name: sorted(other.cover.covered) for name, other in self.others.items() if other.cover.covered
+        }
+        return {"waits_for": self.waits_for(), "held_aside": held, "covers": here}
+
     def _waits(self) -> Iterator[str]:
         for name, other in self.others.items():
             if not self._settled(name, other, {each for each in self.others if self.others[each].out}):
--- a/mintmast/gateway.py
+++ b/mintmast/gateway.py
@@ -166,7 +166,7 @@
             told = self.list.state() if isinstance(self.list, MergedList) else {}
             exchange.respond(200, [("Content-Type", "application/json")], msgspec.json.encode(told))
         elif exchange.path == "/v1/members" and exchange.method == "GET":
-            told = self.roster.state() if self.roster is not None else {}
+            told = self.members()
             exchange.respond(200, [("Content-Type", "application/json")], msgspec.json.encode(told))
         elif exchange.path == "/v1/members/forget" and exchange.method == "POST":
             self._forget(exchange)
@@ -186,9 +186,13 @@
         if self.roster is None or not self.roster.forget(order.name):
             exchange.problem(404, f"{order.name} is no other gateway of this region")
             return
-        exchange.respond(
-            200, [("Content-Type", "application/json")], msgspec.json.encode(self.roster.state())
-        )
+        exchange.respond(200, [("Content-Type", "application/json")], msgspec.json.encode(self.members()))
+
+    def members(self) -> dict[str, Any]:
+        """Tell what is believed of the other gateways, and what this one does as a witness of paid keys."""
+        if self.roster is None:
+            return {}
+        return {**self.roster.state(), "witness": self.core.book.claims.state()}
 
     def _drain(self, exchange: Exchange) -> None:
         try:
--- a/mintmast/lab/audit.py
+++ b/mintmast/lab/audit.py
@@ -38,8 +38,8 @@
 
     def see(self, rule: str, *faults: str) -> None:
         """Book one case, with what is wrong with it."""
-        self.checked[rule] += 1
-        self.broken[rule] += faults
+        self.checked[rule] = self.checked.get(rule, 0) + 1
+        self.broken.setdefault(rule, []).extend(faults)
 
     def as_dict(self) -> dict[str, Any]:
         """Give it for JSON; at most ten faults a rule are told in full."""
@@ -49,7 +49,7 @@
                 "broken": len(self.broken[rule]),
                 "first": sorted(self.broken[rule])[:10],
             }
-            for rule in RULES
+            for rule in self.checked
         }
 
     @property
@@ -91,11 +91,13 @@
 
 
 def _dead(by: dict[str, list[Row]]) -> dict[str, list[tuple[int, int]]]:
-    """Give the spans in which each gateway's process did not run."""
+    """Give the spans in which each gateway's process did not run, or stood still."""
     spans: dict[str, list[tuple[int, int]]] = defaultdict(list)
-    for row in by["gateway_killed"]:
-        back = [each["at"] for each in by["gateway_started"] if each["gateway"] == row["gateway"]]
-        spans[row["gateway"]].append((row["at"], min((at for at in back if at > row["at"]), default=1 << 62)))
+    for begin, end in (("gateway_killed", "gateway_started"), ("gateway_stopped", "gateway_went_on")):
+        for row in by[begin]:
+            back = [each["at"] for each in by[end] if each["gateway"] == row["gateway"]]
+            until = min((at for at in back if at > row["at"]), default=1 << 62)
+            spans[row["gateway"]].append((row["at"], until))
     return spans
 
 
--- a/mintmast/lab/drills/day.py
+++ b/mintmast/lab/drills/day.py
@@ -65,13 +65,15 @@
 class Drill:
     """A family of scripted days: `script(stage, day, seed)` sets the faults.
 
-    `prepare(stage, day)` puts in place what must stand before the gateways start; `load` draws the viewers.
+    `prepare(stage, day)` puts in place what must stand before the gateways start; `load` draws the viewers;
+    `links` puts a link between every two gateways, whose views are asked for and checked.
     """
 
     script: Callable[[Any, Day, int], None]
     day: Day = Day()
     prepare: Callable[[Any, Day], None] = lambda stage, day: None
     load: Callable[[Any, Day, int], Any] | None = None
+    links: bool = False
 
 
 def settings(day: Day) -> dict[str, Any]:
--- a/mintmast/lab/drills/frame.py
+++ b/mintmast/lab/drills/frame.py
@@ -4,20 +4,25 @@
 
 import json
 import math
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 from mintmast.decisions.sessions.moves import END_QUICK
 from mintmast.lab.audit import Findings, Terms, audit, membership, moves, worth
-from mintmast.lab.drills import bad_day, drain, files, registry, roaming
+from mintmast.lab.drills import bad_day, drain, files, members, registry, roaming
 from mintmast.lab.drills.day import Day, Drill, model, settings
 from mintmast.lab.drills.viewers import Viewers
-from mintmast.lab.stage import LoopbackStage, MemoryStage, Stage
+from mintmast.lab.loopback import LoopbackStage
+from mintmast.lab.stage import MemoryStage, Stage
+from mintmast.lab.views import views
 
 # hosts of the smallest fleet on which every fault of a set finds a host of its own
 LEAST_HOSTS = 7
+# µs between questions what gateways believe of each other
+LOOK_EVERY = 250_000
 DRILLS: dict[str, Drill] = {}
-for _family in (registry, files, bad_day, drain, roaming):
+for _family in (registry, files, bad_day, drain, roaming, members):
     DRILLS.update(_family.DRILLS)
 
 
@@ -56,11 +61,15 @@
         for number in range(day.hosts):
             stage.start_host(number)
         drill.prepare(stage, day)
+        if drill.links:
+            stage.lay_links()
         for number in range(day.gateways):
             stage.start_gateway(number)
         stage.begin()
         viewers = (drill.load or Viewers)(stage, day, seed)
         drill.script(stage, day, seed)
+        if drill.links:
+            _look(stage, day)
         stage.run(day.whole_s)
         stage.record("unasked", place="viewers", times=stage.client.unasked)
         if keep is not None:
@@ -73,11 +82,29 @@
         viewers.measures.update(_emptied(stage.rows))
         if "list" in stage.settings:
             viewers.measures.update(membership(stage.rows, found, terms(stage, conf)))
+        if drill.links:
+            names = [f"gw{number}" for number in range(day.gateways)]
+            viewers.measures.update(views(stage.rows, found, names))
         return _report(name, seed, net, stage, viewers, found)
     finally:
         stage.close()
 
 
+def _look(stage: Any, day: Day) -> None:
+    """Ask all gateways what they believe of each other, again and again."""
+    for number in range(day.gateways):
+        stage.look(number, partial(_viewed, stage, stage.now()))
+    stage.loop.call_at(stage.now() + LOOK_EVERY, _look, stage, day)
+
+
+def _viewed(stage: Any, asked: int, told: dict[str, Any]) -> None:
+    stage.record(
+        "view", gateway=told["gateway"], start=told["start"], before=asked, votes=told["witness"]["votes"],
+        stands={name: (each["stands"], each["start"]) for name, each in told["members"].items()},
+        waits_for=told["witness"]["waits_for"], condemned=told["condemned"],
+    )  # fmt: skip
+
+
 def _emptied(rows: list[dict[str, Any]]) -> dict[str, Any]:
     """Give, of draining hosts, paid sessions kept there, free ones that stayed, the longest time to empty."""
     held: dict[str, dict[str, bool]] = {}
--- a/mintmast/lab/drills/roaming.py
+++ b/mintmast/lab/drills/roaming.py
@@ -108,7 +108,7 @@
     """Let a gateway hear the others and not be heard by them."""
     for other in range(day.gateways):
         if other != gateway:
-            stage.cut(f"gw{gateway}", f"gw{other}")
+            stage.way(gateway, other, cut=True)
 
 
 def _faulty(stage: Any, number: int, part: float) -> None:
--- a/mintmast/lab/stage.py
+++ b/mintmast/lab/stage.py
@@ -1,17 +1,13 @@
-"""The stage of a drill: hosts, gateways and viewers, in memory or on loopback, with all that is seen."""
+"""The stage of a drill: hosts, gateways and viewers, with all that is seen; in memory here."""
 
 from __future__ import annotations
 
 import json
 import os
 import random
-import signal
-import socket
-import subprocess
 import sys
 import tempfile
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any
 
 import jwt
@@ -26,15 +22,12 @@
 from mintmast.lab.hostmodel import HostModel, Rack
 from mintmast.lab.registry import RegistryStandIn
 from mintmast.lab.standin import StandIn
-from mintmast.loop.memory import World
-from mintmast.loop.real import SelectorLoop
+from mintmast.loop.memory import Way, World
 
-_SECRET = "c3RhZ2Utb25seS1zZWNyZXQtb2YtdGhpcnR5LXR3by1ieXRlcw"
-ACCESS = {"kty": "oct", "kid": "viewers-1", "alg": "HS256", "k": _SECRET}
-SESSION = {"kty": "oct", "kid": "sessions-1", "alg": "HS256", "k": _SECRET[::-1].replace("=", "A")}
+SECRET = "c3RhZ2Utb25seS1zZWNyZXQtb2YtdGhpcnR5LXR3by1ieXRlcw"
+ACCESS = {"kty": "oct", "kid": "viewers-1", "alg": "HS256", "k": SECRET}
+SESSION = {"kty": "oct", "kid": "sessions-1", "alg": "HS256", "k": SECRET[::-1].replace("=", "A")}
 HOST_PORT, GATEWAY_PORT, REGISTRY_PORT, PEER_PORT = 9000, 8080, 8761, 7946
-# s; a gateway's process must serve by then, else the stage is no stage
-START_TIME = 30
 
 MUTATIONS: dict[str, dict[Evidence, Row]] = {
     "resend-paid": {
@@ -66,6 +59,7 @@
         self.hosts: dict[int, StandIn] = {}
         self.lives: dict[int, int] = {}
         self.origin = 0
+        self.secrets = [SECRET]
         self._draw = random.Random(f"{seed}/answers")
 
     def record(self, what: str, **fields: Any) -> None:
@@ -108,18 +102,18 @@
             if "list" in self.settings
             else [self.listed(place) for place in sorted(self.hosts)],
             "seed": self.seed * 1000 + number,
-            **self.peers(),
+            **self.peers(number),
             **more,
         }
 
-    def peers(self) -> dict[str, Any]:
-        """Give the settings by which the gateways know each other; none where there is one gateway."""
+    def peers(self, number: int) -> dict[str, Any]:
+        """Give the settings by which a gateway knows the others; none where there is one gateway."""
         count = self.settings.get("instances", 1)
         if count < 2 or self.mutate == "no-claims":
             return {}
-        addresses = [self.peer_address(number) for number in range(count)]
+        addresses = [self.peer_address(each, number) for each in range(count)]
         members = [{"name": f"gw{n}", "address": each} for n, each in enumerate(addresses)]
-        return {"peers": {"members": members, "secrets": [_SECRET]}}
+        return {"peers": {"members": members, "secrets": list(self.secrets)}}
 
     def start_registries(self, count: int) -> None:
         """Start registry nodes that know all hosts but the last two."""
@@ -170,10 +164,18 @@
         """Give the address of a registry node."""
         raise NotImplementedError
 
-    def peer_address(self, number: int) -> str:
-        """Give where a gateway listens for the others."""
+    def peer_address(self, number: int, reader: int) -> str:
+        """Give where a gateway listens for the others, as `reader` has it."""
         raise NotImplementedError
 
+    def way(self, source: int, target: int, **more: Any) -> None:
+        """Set what befalls what goes from one gateway to another; without `more` all is well."""
+        raise NotImplementedError
+
+    def told_way(self, source: int, target: int, way: Way) -> None:
+        """Keep what befalls a way in the record."""
+        self.record("way", source=f"gw{source}", target=f"gw{target}", talks=way.talks)
+
     def at(self, seconds: float, do: Callable[..., Any], *args: Any) -> None:
         """Call at a time after the stage's begin."""
         raise NotImplementedError
@@ -192,6 +194,7 @@
         self.viewers = self.world.node("viewers")
         self.client = HttpClient(self.viewers, ClientLimits(connect_time=1_000_000))
         self.gateways: dict[int, Gateway] = {}
+        self._vanished: set[int] = set()
         self.log: list[tuple[str, dict[str, Any]]] = []
 
     def now(self) -> int:
@@ -210,7 +213,7 @@
         """Give a registry's node."""
         return f"registry{number}"
 
-    def peer_address(self, number: int) -> str:
+    def peer_address(self, number: int, reader: int) -> str:
         """Give the gateway's node."""
         return f"gw{number}:{PEER_PORT}"
 
@@ -219,9 +222,13 @@
         super().kill_host(number)
         self.world.nodes[f"host{number}"].kill()
 
-    def start_gateway(self, number: int) -> None:
-        """Start a gateway, or start it anew."""
+    def start_gateway(self, number: int, files: bool = True, wall_shift: float = 0.0) -> None:
+        """Start a gateway, or start it anew, its wall clock wrong by so many seconds; there are no files."""
+        if number in self._vanished:
+            self._vanished.discard(number)
+            self.world.cuts = {pair for pair in self.world.cuts if f"gw{number}" not in pair}
         node = self.world.node(f"gw{number}")
+        node.skew = wall_shift
         self.record("gateway_started", gateway=f"gw{number}")
         listen = {"host": f"gw{number}", "port": GATEWAY_PORT}
         config = parse(self.gateway_settings(number, listen=listen))
@@ -243,10 +250,35 @@
             if other != name:
                 self.world.cuts |= {(name, other), (other, name)}
         self.kill_gateway(number)
+        self._vanished.add(number)
+
+    def lay_links(self) -> None:
+        """Nothing: the world's nodes have ways between them."""
+
+    def way(self, source: int, target: int, **more: Any) -> None:
+        """Set what befalls what goes from one gateway to another; without `more` all is well."""
+        self.world.ways[f"gw{source}", f"gw{target}"] = way = Way(**more)
+        self.told_way(source, target, way)
+
+    def reset(self, one: int, other: int) -> None:
+        """Reset all connections between two gateways."""
+        self.world.break_all(f"gw{one}", f"gw{other}")
 
-    def cut(self, source: str, target: str, on: bool = True) -> None:
-        """Cut one way between two machines, or mend it."""
-        (self.world.cuts.add if on else self.world.cuts.discard)((source, target))
+    def stop_gateway(self, number: int) -> None:
+        """Let a gateway's process stand still."""
+        self.record("gateway_stopped", gateway=f"gw{number}")
+        self.world.nodes[f"gw{number}"].freeze()
+
+    def continue_gateway(self, number: int) -> None:
+        """Let it go on."""
+        self.record("gateway_went_on", gateway=f"gw{number}")
+        self.world.nodes[f"gw{number}"].thaw()
+
+    def look(self, number: int, told: Callable[[dict[str, Any]], None]) -> None:
+        """Tell what a gateway believes of the others, if it runs."""
+        node = self.world.nodes[f"gw{number}"]
+        if node.alive and node.frozen is None:
+            told(self.gateways[number].members())
 
     def votes(self, number: int) -> bool:
         """Tell whether a gateway votes as a witness."""
@@ -277,116 +309,3 @@
     def close(self) -> None:
         """Remove the files."""
         self.folder.cleanup()
-
-
-class LoopbackStage(Stage):
-    """Gateways as processes of their own; hosts and viewers on one loop, all on loopback sockets."""
-
-    slack = 60_000
-
-    def __init__(
-        self, seed: int, settings: dict[str, Any], model: HostModel, mutate: str | None = None
-    ) -> None:
-        self.loop = SelectorLoop(lambda text: self.record("error", text=text))
-        super().__init__(seed, settings, model, mutate)
-        self.client = HttpClient(self.loop, ClientLimits(connect_time=1_000_000))
-        # an address of its own for each drill at work: a port that one has given back for a moment, while its
-        # host is dead, must not be taken by another's gateway, which would then serve the wrong viewers
-        pid = os.getpid()
-        self.address = f"127.{1 + pid % 254}.{pid // 254 % 256}.1"
-        self._ports: dict[str, int] = {}
-        self._processes: dict[int, subprocess.Popen] = {}
-        self._deaths: dict[int, int] = {}
-
-    def now(self) -> int:
-        """Give the loop's clock."""
-        return self.loop.now()
-
-    def wall(self) -> float:
-        """Give the machine's wall clock."""
-        return self.loop.wall()
-
-    def _port(self, name: str) -> int:
-        if name not in self._ports:
-            with socket.socket() as probe:
-                probe.bind((self.address, 0))
-                self._ports[name] = probe.getsockname()[1]
-        return self._ports[name]
-
-    def place(self, name: str, port: int) -> tuple[Any, str, int]:
-        """Give the one loop and a port kept over restarts."""
-        return self.loop, self.address, self._port(name)
-
-    def place_name(self, number: int) -> str:
-        """Give the drill's address."""
-        return self.address
-
-    def peer_address(self, number: int) -> str:
-        """Give a port of the drill's address."""
-        return f"{self.address}:{self._port(f'gw{number}-peers')}"
-
-    def start_gateway(self, number: int) -> None:
-        """Start a gateway's process."""
-        folder = Path(self.folder.name)
-        listen = {"host": self.address, "port": self._port(f"gw{number}")}
-        saved, log = str(folder / f"gw{number}.list"), str(folder / f"gw{number}.log")
-        settings = self.gateway_settings(number, listen=listen, saved_list=saved, telemetry={"log": log})
-        path = folder / f"gw{number}.json"
-        path.write_text(json.dumps(settings), encoding="utf-8")
-        command = [sys.executable, "-m", "mintmast.lab.mutant", self.mutate or "none", str(path)]
-        if self.mutate is None:
-            command = [sys.executable, "-m", "mintmast", "serve", str(path)]
-        self._processes[number] = subprocess.Popen(command, stdout=subprocess.DEVNULL)
-        self.record("gateway_started", gateway=f"gw{number}")
-
-    def wait_for_gateways(self) -> None:
-        """Let the loop run until all gateways accept. Raises RuntimeError."""
-        until = self.now() + START_TIME * 1_000_000
-        for number in self._processes:
-            while True:
-                try:
-                    socket.create_connection((self.address, self._port(f"gw{number}")), 0.2).close()
-                    break
-                except OSError:
-                    if self.now() > until:
-                        raise RuntimeError(f"gateway {number} does not serve") from None
-                    self.loop.run(self.now() + 50_000)
-
-    def kill_gateway(self, number: int) -> None:
-        """Kill a gateway's process with SIGKILL."""
-        self.record("gateway_killed", gateway=f"gw{number}")
-        self._deaths[number] = self._deaths.get(number, 0) + 1
-        self._processes[number].send_signal(signal.SIGKILL)
-        self._processes[number].wait()
-
-    def votes(self, number: int) -> bool:
-        """Tell whether a gateway votes as a witness: its log says so since it last began to serve."""
-        log = Path(self.folder.name, f"gw{number}.log")
-        text = log.read_text("utf-8") if log.exists() else ""
-        begun = text.count('"serving"') > self._deaths.get(number, 0)  # up again after each death
-        return begun and text.rfind("witness_votes") > text.rfind('"serving"')
-
-    def gateway_url(self, number: int) -> str:
-        """Give where a gateway serves."""
-        return f"http://{self.address}:{self._port(f'gw{number}')}"
-
-    def at(self, seconds: float, do: Callable[..., Any], *args: Any) -> None:
-        """Call at a time after the stage's begin."""
-        self.loop.call_at(self.origin + int(seconds * 1e6), do, *args)
-
-    def begin(self) -> None:
-        """Wait for the gateways, then set the stage's begin."""
-        self.wait_for_gateways()
-        self.origin = self.now()
-
-    def run(self, seconds: float) -> None:
-        """Let it play to that time after its begin."""
-        self.loop.run(self.origin + int(seconds * 1e6))
-
-    def close(self) -> None:
-        """End the processes and remove the files."""
-        for process in self._processes.values():
-            process.kill()
-            process.wait()
-        self.folder.cleanup()
-        self.loop.close()
--- a/mintmast/loop/memory.py
+++ b/mintmast/loop/memory.py
@@ -9,6 +9,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from mintmast.loop.base import DEFAULT, Close, Handler, Limits, Timer, Timers
@@ -17,6 +18,30 @@
 CONNECT_LOST = 3_000_000  # µs; a connection into a cut path is given up by the network after this
 
 
+@dataclass(slots=True)
+class Way:
+    """What befalls what goes one way between two machines; parts are of all datagrams, or of all writes.
+
+    `cut`: nothing comes, TCP tries on. `swallows`: TCP connections open and stay open, and nothing comes.
+    `late` in µs. `short`: a write comes by half, then the connection breaks.
+    """
+
+    cut: bool = False
+    swallows: bool = False
+    late: int = 0
+    lost: float = 0.0
+    doubled: float = 0.0
+    short: float = 0.0
+
+    @property
+    def talks(self) -> bool:
+        """Tell whether most of what is sent comes."""
+        return not (self.cut or self.swallows) and self.lost < 0.5 and self.short < 0.5
+
+
+PLAIN = Way()
+
+
 class World:
     """All nodes, one clock, one seed. `latency` is the range of one way between nodes in microseconds."""
 
@@ -28,6 +53,7 @@
         self.cuts: set[tuple[str, str]] = set()
         self.slow: dict[tuple[str, str], int] = {}  # µs more, one way
         self.lost = self.doubled = 0.0  # parts of all datagrams
+        self.ways: dict[tuple[str, str], Way] = {}
         self._timers = Timers()
 
     def node(self, name: str) -> Node:
@@ -51,9 +77,22 @@
 
     def delay(self, source: str, target: str) -> int | None:
         """Draw the time of one way; None where the path is cut."""
-        if (source, target) in self.cuts:
+        way = self.way(source, target)
+        if (source, target) in self.cuts or way.cut:
             return None
-        return self.random.randint(*self.latency) + self.slow.get((source, target), 0)
+        return self.random.randint(*self.latency) + self.slow.get((source, target), 0) + way.late
+
+    def way(self, source: str, target: str) -> Way:
+        """Give what befalls what goes from one node to another."""
+        return self.ways.get((source, target), PLAIN)
+
+    def break_all(self, one: str, other: str) -> None:
+        """Reset all connections between two nodes."""
+        for name, peer in ((one, other), (other, one)):
+            node = self.nodes.get(name)
+            for end in list(node._streams) if node is not None else ():
+                if end.other is not None and end.other.node.name == peer:
+                    node.do(end.over, Close.RESET)
 
 
 class Node:
@@ -185,9 +224,13 @@
 
     def send(self, data: bytes, to: tuple[str, int]) -> None:
         world = self.node.world
-        for _ in range(1 + (world.random.random() < world.doubled)):
+        way = world.way(self.node.name, to[0])
+        if way.swallows:
+            return
+        lost, doubled = max(world.lost, way.lost), max(world.doubled, way.doubled)
+        for _ in range(1 + (world.random.random() < doubled)):
             delay = world.delay(self.node.name, to[0])
-            if delay is not None and world.random.random() >= world.lost:
+            if delay is not None and world.random.random() >= lost:
                 world.at(world.time + delay, self._arrive, bytes(data), to)
 
     def _arrive(self, data: bytes, to: tuple[str, int]) -> None:
@@ -248,7 +291,16 @@
         if other is None:
             return
         world = self.node.world
+        way = world.way(self.node.name, other.node.name)
+        if way.swallows:
+            return
         delay = world.delay(self.node.name, other.node.name)
+        if way.short and isinstance(what, bytes) and delay is not None and world.random.random() < way.short:
+            self._last = max(self._last, world.time + delay)
+            world.at(self._last, other.node.do, other.arrive, what[: len(what) // 2], self)
+            world.at(self._last, other.node.do, other.over, Close.RESET)
+            self.node.call_soon(self.over, Close.RESET)
+            return
         if delay is None:  # cut: TCP tries on, nothing arrives until the path is back
             world.at(world.time + 50_000, self._send, what)
             return
--- a/mintmast/loop/real.py
+++ b/mintmast/loop/real.py
@@ -54,6 +54,7 @@
         self.turns = 0
         self.on_turn: Callable[[int], None] | None = None
         self._wakeup: tuple[int, int] | None = None
+        self.wall_shift = 0.0  # s; for tests of a machine whose clock is wrong
 
     def now(self) -> int:
         """Give the microseconds of the monotonic clock."""
@@ -61,7 +62,7 @@
 
     def wall(self) -> float:
         """Give the seconds since 1970."""
-        return time.time()
+        return time.time() + self.wall_shift
 
     def call_at(self, when: int, do: Callable[..., Any], *args: Any) -> Timer:
         """Call `do(*args)` at `when`."""
--- a/mintmast/process.py
+++ b/mintmast/process.py
@@ -25,6 +25,7 @@
         print(f"mintmast: telemetry/log: {error}", file=sys.stderr)
         return 2
     loop = SelectorLoop()
+    loop.wall_shift = config["testing"]["wall_shift_s"]
     say = line_writer(sink, loop.wall, gateway=config["gateway"])
     loop._on_error = lambda text: say("error", text=text)
     try:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -478,7 +478,7 @@
     assert ask_peer(small, {**good, "owner": "stranger/1"}).status == 409
     for bad in (b"", b"nonsense", b"[]", b'{"owner": 1}', json.dumps({**good, "number": "x"}).encode()):
         assert ask_peer(small, bad).status == 400
-    assert ask_peer(small, {**good, "digest": "x" * 9000}).status == 413
+    assert ask_peer(small, {**good, "digest": "x" * 40_000}).status == 413
     assert ask_peer(small, good, path="/").status == 404
     assert ask_peer(small, {**good, "owner": "gw2/9", "number": 7}).status == 200
     record = small.stage.gateways[0].core.book.claims.witness._records["d"]
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -15,7 +15,8 @@
 from mintmast.http.server import HttpServer
 from mintmast.lab.drills.day import Day, model
 from mintmast.lab.drills.day import settings as day_settings
-from mintmast.lab.stage import LoopbackStage, MemoryStage
+from mintmast.lab.loopback import LoopbackStage
+from mintmast.lab.stage import MemoryStage
 from mintmast.loop.memory import World
 from mintmast.peers.roster import MOST_BYTES, Roster
 
