A gateway that returns elsewhere says where; words and news carry the place of a start

Need: addresses were those of the settings; one that was started on another machine was dead to the others, or two of one name were at work while the old one ended.

Change: peers.advertise is told in each word and passed on with the news of its start; the others reach that start there. A refusal of the old machine bears on the old start only. Drill members-moves: two processes of one name for up to 4 s.

--- a/mintmast/cli/__init__.py
+++ b/mintmast/cli/__init__.py
@@ -266,7 +266,7 @@
 @click.option(
     "--hosts", type=click.IntRange(7, 1000), help="Media hosts; racks, titles and faults grow along."
 )
-@click.option("--gateways", type=click.IntRange(1, 64), help="Gateways.")
+@click.option("--gateways", type=click.IntRange(1, 300), help="Gateways.")
 @click.option("--rate", type=click.FloatRange(0.1, 10_000), help="Viewers a second.")
 @click.option("--seconds", type=click.FloatRange(4, 3600), help="Seconds of load.")
 @click.option("--uplink-kb", type=click.FloatRange(1), help="Each rack's uplink, kB/s; the racks then stay.")
--- a/mintmast/config/schema.py
+++ b/mintmast/config/schema.py
@@ -261,6 +261,10 @@
                 "all gateways of the region, this one among them, the same list at each",
             ),
             listen=_obj("", host=_text("address to listen on, where it is not the one that others use")),
+            advertise=_text(
+                "where this gateway is reached, HOST:PORT, while the others' lists have it elsewhere",
+                pattern=ADDRESS,
+            ),
             secrets=_list(
                 {
                     "type": "string",
--- a/mintmast/decisions/gateways/members.py
+++ b/mintmast/decisions/gateways/members.py
@@ -103,7 +103,14 @@
     about: str = ""
 
 
-Command = SendWord | WakeAt | Changed | Noted
+class Moved(msgspec.Struct, frozen=True, gc=False):
+    """A later start of a gateway is reached at this HOST:PORT, "" for where the settings have it."""
+
+    name: str
+    place: str
+
+
+Command = SendWord | WakeAt | Changed | Noted | Moved
 
 
 class Tick(msgspec.Struct, frozen=True, gc=False):
@@ -146,6 +153,8 @@
     since: int = 0
     heard_at: int | None = None
     datagram_at: int | None = None
+    place: str = ""
+    placed: int = 0  # the start that is there
     way: Way = Way.WHOLE
     answered: int = 0  # probes in a row that were answered directly
     observers: set[str] = field(default_factory=set)
@@ -163,10 +172,13 @@
 
 
 class Members:
-    """One gateway's part. `names` are all gateways of the region, this one among them."""
+    """One gateway's part. `names` are all gateways of the region, itself among them; `place`: see `Word`."""
 
-    def __init__(self, name: str, start: int, names: tuple[str, ...], rng: random.Random) -> None:
+    def __init__(
+        self, name: str, start: int, names: tuple[str, ...], rng: random.Random, place: str = ""
+    ) -> None:
         self.name, self.own, self._random = name, Standing(start, 0, State.ALIVE), rng
+        self._place = place
         self.others = {each: Member(each) for each in sorted(names) if each != name}
         self.slow = 0
         self.condemned = ""  # why this process must not act under its name any more
@@ -415,8 +427,9 @@
         self.words += 1
         own = self.own
         word = Word(
-            kind, self.name, own.start, own.incarnation, self.words, number, about, gap, self._news(to)
-        )
+            kind, self.name, own.start, own.incarnation, self.words, number, about, gap, self._news(to),
+            self._place,
+        )  # fmt: skip
         self._out.append(SendWord(to, word, sure, self.others[to].standing.start, now))
 
     def _news(self, to: str) -> tuple[News, ...]:
@@ -436,7 +449,7 @@
             names[all_[self._slice]] = None
         told = [self.others[name] for name in names if self.others[name].standing.start]
         return tuple(
-            News(m.name, m.standing.start, m.standing.incarnation, m.standing.state, self._by(m))
+            News(m.name, m.standing.start, m.standing.incarnation, m.standing.state, self._by(m), m.place)
             for m in told
         )
 
@@ -458,6 +471,7 @@
         if not member.window.take(word.start, word.seq):
             self.dropped["doubled"] += 1
             return
+        self._placed(member, word.start, word.place)
         member.heard_at = now
         member.observers.discard(self.name)
         if not sure:
@@ -477,6 +491,18 @@
         elif word.kind in (Kind.ACK, Kind.NACK):
             self._answered(now, member.name, word, sure)
 
+    def _placed(self, member: Member, start: int, place: str) -> None:
+        """Reach a start of a gateway where it is.
+
+        Danger: its machine of before refuses connections, and that would be taken for this start's end.
+        """
+        if start <= member.placed:
+            return
+        member.placed = start
+        if place != member.place:
+            member.place = place
+            self._out.append(Moved(member.name, place))
+
     def _relay(self, now: int, asker: str, word: Word) -> None:
         """Probe another in the asker's place; the asker hears at once that this gateway is there itself."""
         self._number += 1
@@ -500,6 +526,7 @@
         if member is None:
             self.dropped["foreign"] += 1
             return
+        self._placed(member, news.start, news.place)
         self._learn(now, member, standing, news.by)
 
     def _about_self(self, told: Standing) -> None:
--- a/mintmast/decisions/gateways/words.py
+++ b/mintmast/decisions/gateways/words.py
@@ -25,13 +25,14 @@
 
 
 class News(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """How a gateway stands, as `by` tells; `by` matters where it is suspected."""
+    """How a gateway stands, as `by` tells, which matters where it is suspected; `place` is as in `Word`."""
 
     name: str
     start: int
     incarnation: int
     state: int
     by: str = ""
+    place: str = ""
 
     def standing(self) -> Standing:
         """Give it for merging. Raises ValueError for a state that there is not."""
@@ -41,8 +42,9 @@
 class Word(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """One datagram. `seq` counts the sender's words of this start; `number` is that of the probe.
 
-    `about` is whom an ASK, its answer, or a PING in another's place is for. `gap` in an answer is how many ms
-    ago its writer last heard `about` itself, -1 for never: so two learn which way their path is broken.
+    `place` is where this start of the sender is reached, HOST:PORT, "" for where settings have it. `about` is
+    whom an ASK, its answer, or a PING in another's place is for. `gap` in an answer is how many ms ago its
+    writer last heard `about` itself, -1 for never: so two learn which way their path is broken.
     """
 
     kind: int
@@ -54,6 +56,7 @@
     about: str = ""
     gap: int = -1
     news: tuple[News, ...] = ()
+    place: str = ""
 
 
 class Window:
--- a/mintmast/gateway.py
+++ b/mintmast/gateway.py
@@ -126,12 +126,16 @@
             host, _, port = each["address"].rpartition(":")
             members[each["name"]] = host, int(port)
         name = self.config["gateway"]
+        place = told.get("advertise", "")
+        if place:
+            host, _, port = place.rpartition(":")
+            members[name] = host, int(port)
         listen = told.get("listen", {}).get("host", members[name][0]), members[name][1]
         secrets = told["secrets"]
         peers = PeerLines(self.loop, name, start, members, secrets, told["skew_s"], self.core, listen)
         self.peers = self.core.peers = peers
         self.roster = Roster(
-            self.loop, name, start, members, secrets, listen, seed, self.say, self.core.stands
+            self.loop, name, start, members, secrets, listen, seed, self.say, self.core.stands, place
         )
         peers.roster = self.roster.called
 
--- a/mintmast/lab/audit.py
+++ b/mintmast/lab/audit.py
@@ -96,7 +96,7 @@
     for begin, end in (("gateway_killed", "gateway_started"), ("gateway_stopped", "gateway_went_on")):
         for row in by[begin]:
             back = [each["at"] for each in by[end] if each["gateway"] == row["gateway"]]
-            until = min((at for at in back if at > row["at"]), default=1 << 62)
+            until = min((at for at in back if at >= row["at"]), default=1 << 62)
             spans[row["gateway"]].append((row["at"], until))
     return spans
 
--- a/mintmast/lab/drills/members.py
+++ b/mintmast/lab/drills/members.py
@@ -158,6 +158,13 @@
     return at + 8.0 + 3 * START
 
 
+def moves(stage: Any, day: Day, draw: random.Random, at: float) -> float:
+    """Start one at another address while its process of before runs on for a while: two of one name."""
+    overlap = draw.choice((0.0, 2.0, 4.0))
+    stage.at(at, stage.move_gateway, draw.randrange(day.gateways), overlap)
+    return at + overlap + START
+
+
 def secrets(stage: Any, day: Day, draw: random.Random, at: float) -> float:
     """Put the new secret first at all but one that is cut off, which follows; all know both."""
     one = draw.randrange(day.gateways)
@@ -201,10 +208,10 @@
     "one-way": one_way, "unheard": unheard, "half": half, "split": split, "flapping": flapping,
     "losses": losses, "doubles": doubles, "swallows": swallows, "resets": resets, "shorts": shorts,
     "stopped": stopped, "all-but-one": all_but_one, "behind": behind, "killed": killed, "clock": clock,
-    "vanished": vanished,
+    "vanished": vanished, "moves": moves,
 }  # fmt: skip
 # of these the drawn days are made; the others take a day of their own
-DRAWN = tuple(name for name in CASES if name not in ("clock", "vanished"))
+DRAWN = tuple(name for name in CASES if name not in ("clock", "vanished", "moves"))
 DAY = Day(gateways=5, rate=8.0, load_s=24.0, whole_s=46.0, uplink_kb=1200.0)
 LONG = Day(gateways=5, rate=8.0, load_s=34.0, whole_s=60.0, uplink_kb=1200.0)
 
--- a/mintmast/lab/loopback.py
+++ b/mintmast/lab/loopback.py
@@ -41,6 +41,7 @@
         self._ports: dict[str, int] = {}
         self.links: Links | None = None
         self._processes: dict[int, subprocess.Popen] = {}
+        self._replaced: dict[str, subprocess.Popen] = {}  # by machine
         self._deaths: dict[int, int] = {}
 
     def now(self) -> int:
@@ -107,24 +108,25 @@
             if isinstance(reply, Reply) and reply.status == 200:
                 told(json.loads(reply.body))
 
-        admin = self.address, self._port(f"admin{number}")
+        admin = self.address, self._port(f"{self.machine(number)}-admin")
         headers = [("Authorization", f"Bearer {SECRET}")]
         self.client.call(admin, "GET", "/v1/members", answered, headers, b"", self.now() + 400_000)
 
     def start_gateway(self, number: int, files: bool = True, wall_shift: float = 0.0) -> None:
         """Start a gateway's process, with its files or without, its wall clock wrong by so many seconds."""
         folder = Path(self.folder.name)
-        listen = {"host": self.address, "port": self._port(f"gw{number}")}
-        saved, log = str(folder / f"gw{number}.list"), str(folder / f"gw{number}.log")
+        name = self.machine(number)
+        listen = {"host": self.address, "port": self._port(name)}
+        saved, log = str(folder / f"{name}.list"), str(folder / f"{name}.log")
         if not files:
             Path(saved).unlink(missing_ok=True)
         more = {"testing": {"wall_shift_s": wall_shift}}
         if self.links is not None:
-            more["admin"] = {"host": self.address, "port": self._port(f"admin{number}"), "token": SECRET}
+            more["admin"] = {"host": self.address, "port": self._port(f"{name}-admin"), "token": SECRET}
         settings = self.gateway_settings(
             number, listen=listen, saved_list=saved, telemetry={"log": log}, **more
         )
-        path = folder / f"gw{number}.json"
+        path = folder / f"{name}.json"
         path.write_text(json.dumps(settings), encoding="utf-8")
         command = [sys.executable, "-m", "mintmast.lab.mutant", self.mutate or "none", str(path)]
         if self.mutate is None:
@@ -132,7 +134,8 @@
         self._processes[number] = process = subprocess.Popen(command, stdout=subprocess.DEVNULL)
         self.record("gateway_started", gateway=f"gw{number}")
         if self.links is not None:
-            self.links.listen_when_there(number, lambda: self._processes[number] is process)
+            here = number not in self._moved  # one that moved is reached without links
+            self.links.listen_when_there(number, lambda: here and self._processes[number] is process)
 
     def wait_for_gateways(self) -> None:
         """Let the loop run until all gateways accept. Raises RuntimeError."""
@@ -156,16 +159,33 @@
         self._processes[number].send_signal(signal.SIGKILL)
         self._processes[number].wait()
 
+    def move_gateway(self, number: int, overlap: float) -> None:
+        """Start a gateway elsewhere, and kill the process before so many seconds later."""
+        self._replaced[self.machine(number)] = self._processes[number]
+        super().move_gateway(number, overlap)
+
+    def replaced(self, number: int, old: str) -> None:
+        """Kill the process of before; its machine refuses connections from then on."""
+        self.record("gateway_killed", gateway=f"gw{number}")
+        self.links.listen(number, False)
+        self._replaced[old].send_signal(signal.SIGKILL)
+        self._replaced[old].wait()
+        self.record("gateway_started", gateway=f"gw{number}")
+
+    def own_place(self, number: int) -> str:
+        """Give the new port of the drill's address."""
+        return f"{self.address}:{self._port(f'{self.machine(number)}-peers')}"
+
     def votes(self, number: int) -> bool:
         """Tell whether a gateway votes as a witness: its log says so since it last began to serve."""
-        log = Path(self.folder.name, f"gw{number}.log")
+        log = Path(self.folder.name, f"{self.machine(number)}.log")
         text = log.read_text("utf-8") if log.exists() else ""
         begun = text.count('"serving"') > self._deaths.get(number, 0)  # up again after each death
         return begun and text.rfind("witness_votes") > text.rfind('"serving"')
 
     def gateway_url(self, number: int) -> str:
         """Give where a gateway serves."""
-        return f"http://{self.address}:{self._port(f'gw{number}')}"
+        return f"http://{self.address}:{self._port(self.machine(number))}"
 
     def at(self, seconds: float, do: Callable[..., Any], *args: Any) -> None:
         """Call at a time after the stage's begin."""
@@ -184,7 +204,7 @@
         """End the processes and remove the files."""
         if self.links is not None:
             self.links.close()
-        for process in self._processes.values():
+        for process in (*self._processes.values(), *self._replaced.values()):
             process.kill()
             process.wait()
         self.folder.cleanup()
--- a/mintmast/lab/stage.py
+++ b/mintmast/lab/stage.py
@@ -46,6 +46,7 @@
         self.lives: dict[int, int] = {}
         self.origin = 0
         self.secrets = [SECRET]
+        self._moved: dict[int, str] = {}  # machines of gateways that are not where the settings say
         self._draw = random.Random(f"{seed}/answers")
 
     def record(self, what: str, **fields: Any) -> None:
@@ -99,7 +100,29 @@
             return {}
         addresses = [self.peer_address(each, number) for each in range(count)]
         members = [{"name": f"gw{n}", "address": each} for n, each in enumerate(addresses)]
-        return {"peers": {"members": members, "secrets": list(self.secrets)}}
+        told: dict[str, Any] = {"members": members, "secrets": list(self.secrets)}
+        if number in self._moved:
+            told["advertise"] = self.own_place(number)
+        return {"peers": told}
+
+    def machine(self, number: int) -> str:
+        """Name the machine of a gateway: that of the settings, or where it has moved."""
+        return self._moved.get(number, f"gw{number}")
+
+    def move_gateway(self, number: int, overlap: float) -> None:
+        """Start a gateway elsewhere, and kill the process before so many seconds later."""
+        old = self.machine(number)
+        self._moved[number] = f"{old}x"
+        self.start_gateway(number)
+        self.loop.call_at(self.now() + int(overlap * 1e6), self.replaced, number, old)
+
+    def replaced(self, number: int, old: str) -> None:
+        """Kill the process on a gateway's machine of before."""
+        raise NotImplementedError
+
+    def own_place(self, number: int) -> str:
+        """Give where a gateway that has moved listens for the others."""
+        raise NotImplementedError
 
     def start_registries(self, count: int) -> None:
         """Start registry nodes that know all hosts but the last two."""
@@ -213,10 +236,10 @@
         if number in self._vanished:
             self._vanished.discard(number)
             self.world.cuts = {pair for pair in self.world.cuts if f"gw{number}" not in pair}
-        node = self.world.node(f"gw{number}")
+        node = self.world.node(self.machine(number))
         node.skew = wall_shift
         self.record("gateway_started", gateway=f"gw{number}")
-        listen = {"host": f"gw{number}", "port": GATEWAY_PORT}
+        listen = {"host": self.machine(number), "port": GATEWAY_PORT}
         config = parse(self.gateway_settings(number, listen=listen))
         say = self._say if os.environ.get("MINTMAST_DRILL_LOG") else lambda event, **fields: None
         self.gateways[number] = Gateway(node, config, None, say, mutated(self.mutate))
@@ -224,10 +247,20 @@
     def _say(self, event: str, **fields: Any) -> None:
         print(json.dumps({"at": self.world.time, "event": event, **fields}), file=sys.stderr)
 
+    def replaced(self, number: int, old: str) -> None:
+        """Kill the node of before."""
+        self.record("gateway_killed", gateway=f"gw{number}")
+        self.world.nodes[old].kill()
+        self.record("gateway_started", gateway=f"gw{number}")
+
+    def own_place(self, number: int) -> str:
+        """Give the new node."""
+        return f"{self.machine(number)}:{PEER_PORT}"
+
     def kill_gateway(self, number: int) -> None:
         """Kill a gateway without warning."""
         self.record("gateway_killed", gateway=f"gw{number}")
-        self.world.nodes[f"gw{number}"].kill()
+        self.world.nodes[self.machine(number)].kill()
 
     def vanish_gateway(self, number: int) -> None:
         """Take a gateway's machine away: it says nothing, not even that a port is closed."""
@@ -253,27 +286,27 @@
     def stop_gateway(self, number: int) -> None:
         """Let a gateway's process stand still."""
         self.record("gateway_stopped", gateway=f"gw{number}")
-        self.world.nodes[f"gw{number}"].freeze()
+        self.world.nodes[self.machine(number)].freeze()
 
     def continue_gateway(self, number: int) -> None:
         """Let it go on."""
         self.record("gateway_went_on", gateway=f"gw{number}")
-        self.world.nodes[f"gw{number}"].thaw()
+        self.world.nodes[self.machine(number)].thaw()
 
     def look(self, number: int, told: Callable[[dict[str, Any]], None]) -> None:
         """Tell what a gateway believes of the others, if it runs."""
-        node = self.world.nodes[f"gw{number}"]
+        node = self.world.nodes[self.machine(number)]
         if node.alive and node.frozen is None:
             told(self.gateways[number].members())
 
     def votes(self, number: int) -> bool:
         """Tell whether a gateway votes as a witness."""
-        alive = self.world.nodes[f"gw{number}"].alive
+        alive = self.world.nodes[self.machine(number)].alive
         return alive and self.gateways[number].core.book.claims.voting
 
     def gateway_url(self, number: int) -> str:
         """Give where a gateway serves."""
-        return f"http://gw{number}:{GATEWAY_PORT}"
+        return f"http://{self.machine(number)}:{GATEWAY_PORT}"
 
     def at(self, seconds: float, do: Callable[..., Any], *args: Any) -> None:
         """Call at a time after the stage's begin."""
--- a/mintmast/peers/roster.py
+++ b/mintmast/peers/roster.py
@@ -22,6 +22,7 @@
     Forget,
     Heard,
     Members,
+    Moved,
     Noted,
     Refused,
     SendWord,
@@ -45,7 +46,9 @@
     """Carries one gateway's `Members`. `members` are all gateways with their addresses, `listen` its own.
 
     `secrets` seal (the first) and open (all). `say(event, **fields)` takes log lines, `tell` hears what
-    others decide by. Raises OSError where the address cannot be had.
+    others decide by. `place` is told to the others
+    where it is not what `members` has. `members` changes as gateways move. Raises OSError where the address
+    cannot be had.
     """
 
     def __init__(
@@ -59,10 +62,14 @@
         seed: int,
         say: Callable[..., None],
         tell: Callable[[PeerStands | Condemned], None] = lambda event: None,
+        place: str = "",
     ) -> None:
         self._loop, self._addresses, self._say, self._tell = loop, members, say, tell
+        self._told = dict(members)
         self._secrets = [each.encode() for each in secrets]
-        self.members = Members(gateway, start, tuple(sorted(members)), random.Random(f"{seed}/members"))
+        self.members = Members(
+            gateway, start, tuple(sorted(members)), random.Random(f"{seed}/members"), place
+        )
         self.malformed = self.unsealed = 0
         self._reply: tuple[str, bytes] | None = None
         self._client = HttpClient(loop, ClientLimits(idle_each=1, body_bytes=4096), f"mintmast/{gateway}")
@@ -84,11 +91,24 @@
                 stands, by = command.proof.value, list(command.by)
                 self._say("member", name=command.name, stands=stands, start=command.start, by=by)
                 self._tell(PeerStands(command.name, command.proof, command.start))
+            elif isinstance(command, Moved):
+                self._move(command)
             elif isinstance(command, Noted):
                 self._say("membership", what=command.what, about=command.about)
                 if command.what == "condemned":
                     self._tell(Condemned(command.about))
 
+    def _move(self, command: Moved) -> None:
+        """Reach a gateway elsewhere; what is no address is counted, and the settings' one kept."""
+        host, _, port = command.place.rpartition(":")
+        place = self._told[command.name]
+        if command.place and host and port.isascii() and port.isdigit() and 0 < int(port) < 65_536:
+            place = host, int(port)
+        elif command.place:
+            self.malformed += 1
+        self._addresses[command.name] = place
+        self._say("member_moved", name=command.name, to=f"{place[0]}:{place[1]}")
+
     def _send(self, command: SendWord) -> None:
         data = self.seal(command.word)
         if not command.sure:
