--- a/mintmast/cli/__init__.py
+++ b/mintmast/cli/__init__.py
@@ -241,6 +241,16 @@
     sys.exit(forget(name, admin, token, yes))
 
 
+@main.command("store")
+@click.argument("what", type=click.Choice(["inspect", "verify", "compact", "export"]))
+@click.argument("file", type=click.Path())
+def store_command(what: str, file: str) -> None:
+    """Look at, check, compact or write out the FILE of what a gateway keeps; the gateway must not run."""
+    from mintmast.cli.store import store
+
+    sys.exit(store(what, file))
+
+
 @main.command("moves")
 @_administrative
 def moves(admin: str, token: str) -> None:
--- a/mintmast/config/schema.py
+++ b/mintmast/config/schema.py
@@ -278,6 +278,10 @@
             ),
             skew_s=_num(1, 600, "seconds by which the gateways' clocks may differ", 30.0),
         ),
+        store=_obj(
+            "path",
+            path=_text("file of what this gateway keeps over its death; without it nothing is kept"),
+        ),
         testing=_obj(
             "",
             wall_shift_s=_num(
--- a/mintmast/core/ports.py
+++ b/mintmast/core/ports.py
@@ -9,6 +9,7 @@
 
 from mintmast.decisions import messages as msg
 from mintmast.decisions.gateways import talk
+from mintmast.decisions.gateways.records import Write
 from mintmast.decisions.messages import Told
 from mintmast.decisions.outcomes import Evidence
 from mintmast.interface import ListEntry, ListKind, NoteKind
@@ -100,8 +101,8 @@
 class PeerEvents(Protocol):
     """What the core hears from other gateways."""
 
-    def called(self, call: talk.PeerCall) -> talk.PeerReply:
-        """Answer another gateway's call, at once."""
+    def called(self, call: talk.PeerCall, answer: Callable[[talk.PeerReply], None]) -> None:
+        """Answer another gateway's call: `answer` is called once, maybe before this returns."""
 
     def heard(self, event: talk.Voted | talk.Learnt | talk.AsideTold) -> None:
         """Take the end of a call."""
@@ -123,6 +124,18 @@
         """Tell another gateway who is held aside."""
 
 
+class StorePort(Protocol):
+    """What makes records durable; the end of a write that has a token is told once, by `Core.written`."""
+
+    failing: str  # why writes fail, "" where they do not
+
+    def write(self, command: Write) -> None:
+        """Write these; nothing waits for it here."""
+
+    def close(self) -> None:
+        """Write what is left, and end."""
+
+
 class ListSource(Protocol):
     """Where the list of servers comes from."""
 
--- a/mintmast/core/service.py
+++ b/mintmast/core/service.py
@@ -9,9 +9,10 @@
 import msgspec
 
 from mintmast import interface as api
-from mintmast.core.ports import AnswerTo, HostPort, ListSource, Order, PeerPort, SteerTo
+from mintmast.core.ports import AnswerTo, HostPort, ListSource, Order, PeerPort, SteerTo, StorePort
 from mintmast.decisions import messages as msg
 from mintmast.decisions.gateways import talk
+from mintmast.decisions.gateways.records import Recovered, Write, Written
 from mintmast.decisions.outcomes import Evidence
 from mintmast.decisions.sessions.book import SessionBook
 from mintmast.loop import Loop
@@ -57,7 +58,8 @@
         self._random = random.Random(seed)
         self.book = SessionBook(settings, decide, lease, start * EPOCHS_A_MS, table, gateway, start, members)
         self.peers: PeerPort | None = None  # set where there are members
-        self._replies: list[talk.PeerReply] = []
+        self.store: StorePort | None = None  # set where there is one
+        self._answers: dict[int, Callable[[talk.PeerReply], None]] = {}
         self._asked: dict[int, _Asked] = {}
         self._polls: dict[int, SteerTo] = {}
         self._count = 0
@@ -76,15 +78,16 @@
             talk.SendRelease: lambda c: self.peers.release(c),
             talk.SendLearn: lambda c: self.peers.learn(c),
             talk.SendAside: lambda c: self.peers.aside(c),
-            talk.PeerReply: self._replies.append,
+            talk.PeerReply: lambda c: self._answers.pop(c.call)(c),
+            Write: lambda c: self.store.write(c) if self.store is not None else None,
             msg.AskList: lambda c: source.refresh(),
             msg.Say: lambda c: self.say(c.event, **dict(c.fields)),
         }
         hosts.attach(self)
 
-    def begin(self) -> None:
-        """Start: hear the list, open the lines to hosts."""
-        self._do(self.book.start(self.loop.now()))
+    def begin(self, kept: Recovered | None = None) -> None:
+        """Start, with what was kept of earlier lives: hear the list, open the lines to hosts."""
+        self._do(self.book.start(self.loop.now(), kept))
         self.source.start(self._news)
 
     def name(self, session: int) -> str:
@@ -166,10 +169,15 @@
 
     # Other gateways
 
-    def called(self, call: talk.PeerCall) -> talk.PeerReply:
-        """Answer another gateway's call."""
-        self._take(call)
-        return self._replies.pop()
+    def called(self, call: talk.PeerCall, answer: Callable[[talk.PeerReply], None]) -> None:
+        """Answer another gateway's call, once, when what the answer says is durable."""
+        self._count += 1
+        self._answers[self._count] = answer
+        self._take(msgspec.structs.replace(call, call=self._count))
+
+    def written(self, event: Written) -> None:
+        """Take the end of a write."""
+        self._take(event)
 
     def heard(self, event: talk.Voted | talk.Learnt | talk.AsideTold) -> None:
         """Take the end of a call to another gateway."""
--- a/mintmast/decisions/gateways/claims.py
+++ b/mintmast/decisions/gateways/claims.py
@@ -22,35 +22,13 @@
 from enum import Enum
 from itertools import combinations
 
-from mintmast.decisions.gateways.covers import Covers
 from mintmast.decisions.gateways.standing import CONCLUSIONS
-from mintmast.decisions.gateways.talk import (
-    AsideTold,
-    Condemned,
-    Known,
-    Learnt,
-    PeerCall,
-    PeerReply,
-    PeerStands,
-    SendClaim,
-    SendRelease,
-    Vote,
-    Voted,
-)
-from mintmast.decisions.gateways.witness import (
-    KEPT,
-    LEARNT_AT_ONCE,
-    LONGEST,
-    Witness,
-    digest_of,
-    witnesses_of,
-)
-from mintmast.decisions.messages import Say, Wake
+from mintmast.decisions.gateways.talk import Known, SendClaim, SendRelease, Vote, Voted
+from mintmast.decisions.gateways.witness import KEPT, LONGEST, digest_of, witnesses_of
+from mintmast.decisions.gateways.witnessing import CLAIM_TIME, Witnessing
+from mintmast.decisions.messages import Wake
 
 SECOND = 1_000_000
-# µs in which a vote counts: some round trips within a region and a turn of a busy loop; a viewer of a paid
-# title waits seconds. All that a starting witness must wait for
-CLAIM_TIME = SECOND // 4
 # µs between the tries of a claim whose votes were split, at the least; as much again by a hash, so that two
 # that met once do not meet again
 AGAIN = SECOND // 50
@@ -58,8 +36,6 @@
 RELEASE_TIME = 2 * SECOND
 # tries of a claim: three claimants that split the votes thrice in a row are no accident
 TRIES = 4
-# µs between looks at what is to be asked of others and told to them
-LOOK_AGAIN = SECOND
 
 
 class Stage(Enum):
@@ -137,15 +113,11 @@
         self._gateway, self._start, self._members = gateway, start, members
         self._owner = f"{gateway}/{start:x}"
         self._emit, self._decided = emit, decided
-        self.witness = Witness()
-        self.covers = Covers(gateway, members, emit)
-        self.condemned = ""
+        self.part = Witnessing(gateway, start, members, emit, self._own)
         self._claims: dict[int, _Claim] = {}  # by session
         self._by_number: dict[int, _Claim] = {}
         self._owned: dict[str, tuple[int, int]] = {}  # digest: number, until when others may need to know
         self._number = 0
-        self._wakes_at = 0
-        self._said: tuple[bool, list[str]] | None = None
 
     @property
     def on(self) -> bool:
@@ -160,8 +132,8 @@
         if self._owned.get(claim.digest, (0, now))[1] > now:  # from a session that may have run
             self._decided(now, session, "this key has been spent")
             return
-        if self.condemned:
-            self._decided(now, session, self.condemned)
+        if self.part.condemned:
+            self._decided(now, session, self.part.condemned)
             return
         self._claims[session] = claim
         self._ask(now, claim)
@@ -186,14 +158,18 @@
         claim.unasked = [each for each in others if each not in first]
         self._send(now, claim, first)
         if self._gateway in claim.votes:
-            told, without = self._vote(now, claim.digest, self._owner, claim.number, claim.keep)
-            self._count(now, claim, self._gateway, told, without)
+            number = claim.number
+
+            def told(at: int, vote: Vote, without: tuple[str, ...]) -> None:
+                self.voted(at, Voted(self._gateway, number, vote, without))
+
+            self.part.vote(now, claim.digest, self._owner, number, claim.keep, told)
 
     def _first(self, name: str) -> bool:
-        return not CONCLUSIONS[self.covers.others[name].proof].asked_first
+        return not CONCLUSIONS[self.part.covers.others[name].proof].asked_first
 
     def _relied_on(self, name: str) -> bool:
-        return CONCLUSIONS[self.covers.others[name].proof].relied_on
+        return CONCLUSIONS[self.part.covers.others[name].proof].relied_on
 
     def _send(self, now: int, claim: _Claim, witnesses: list[str]) -> None:
         for each in witnesses:
@@ -263,122 +239,15 @@
         self._owned.pop(claim.digest, None)
         for each in claim.votes:
             if each == self._gateway:
-                self.witness.release(now, claim.digest, self._owner, claim.number)
+                self.part.release(now, claim.digest, self._owner, claim.number)
             else:
                 self._emit(SendRelease(each, claim.digest, claim.number, now + RELEASE_TIME))
 
-    # As a witness
-
-    @property
-    def voting(self) -> bool:
-        """Tell whether this gateway votes on all keys that can be decided."""
-        return self.covers.voting and not self.condemned
-
-    def state(self) -> dict[str, object]:
-        """Tell operators what this gateway does as a witness."""
-        return {"votes": self.voting, "records": len(self.witness), **self.covers.state()}
-
-    def _vote(
-        self, now: int, digest: str, owner: str, number: int, keep: int
-    ) -> tuple[Vote, tuple[str, ...]]:
-        witnesses = witnesses_of(digest, self._members)
-        others = tuple(each for each in witnesses if each != self._gateway)
-        if self.condemned or self._gateway not in witnesses or not self.covers.ready(others):
-            return Vote.NONE, ()
-        without = self.covers.without(others)
-        return self.witness.vote(now, digest, owner, number, keep), without
-
-    def begin_learning(self, now: int) -> None:
-        """Start: nothing is known of what this gateway granted in an earlier life."""
-        if self.on:
-            self._emit(Wake(now + 2 * CLAIM_TIME, ("learn",)))
-
-    def learn(self, now: int) -> None:
-        """Take it that the time of a look has come: the first one after what was under way is over."""
-        self.covers.begun, self._wakes_at = True, 0
-        self._look(now)
-
-    def _look(self, now: int) -> None:
-        """Ask and tell the others what is due. Danger: a question is lost, and never asked again."""
-        if not self.covers.begun:
-            return
-        if self.covers.go_on(now) and not self._wakes_at:
-            self._wakes_at = now + LOOK_AGAIN
-            self._emit(Wake(self._wakes_at, ("learn",)))
-        told = self.covers.voting, self.covers.waits_for()
-        if told != self._said:
-            self._said = told
-            name = "witness_votes" if told[0] else "witness_waits"
-            self._emit(Say(name, (("records", len(self.witness)), ("waits_for", told[1]))))
-
-    def learnt(self, now: int, event: Learnt) -> None:
-        """Take what another gateway knows."""
-        for digest, owner, number, keep in event.records:
-            if self._gateway in witnesses_of(digest, self._members):
-                self.witness.learn(now, digest, owner, number, keep)
-        self.covers.learnt(now, event)
-        self._look(now)
-
-    def asided(self, now: int, event: AsideTold) -> None:
-        """Take note that another gateway has booked who is held aside, or has not."""
-        self.covers.asided(event)
-        self._look(now)
-
-    def stands(self, now: int, event: PeerStands) -> None:
-        """Take how another gateway stands."""
-        if event.peer in self.covers.others:
-            self.covers.stands(event.peer, event.proof, event.start)
-            self._look(now)
-
-    def condemn(self, now: int, event: Condemned) -> None:
-        """Take it that another process has this name, or that this one is held for dead: it owns nothing new.
-
-        Danger: two processes of one name are one witness with two memories.
-        """
-        self.condemned = event.why
-
-    def called(self, now: int, event: PeerCall) -> None:
-        """Answer another gateway."""
-        name, _, start = event.owner.partition("/")
-        if event.learn is not None or event.aside is not None:
-            self._emit(self._told(now, event, name, start))
-        elif event.release:
-            self.witness.release(now, event.digest, event.owner, event.number)
-            self._emit(PeerReply(event.call))
-        else:
-            told, without = self._vote(now, event.digest, event.owner, event.number, event.keep)
-            self._emit(PeerReply(event.call, told, without=without))
-
-    def _told(self, now: int, event: PeerCall, name: str, start: str) -> PeerReply:
-        try:
-            number = int(start, 16)
-        except ValueError:
-            return PeerReply(event.call)
-        if name not in self.covers.others:
-            return PeerReply(event.call)
-        self.covers.lives(name, number)
-        if event.aside is not None:
-            mine = event.to == self._start
-            booked = self.covers.book(name, number, event.version, event.aside) if mine else -1
-            self._look(now)
-            return PeerReply(event.call, version=booked)
-        records = self._known(now, name, event.learn or "")
-        unready, covered = self.covers.tell(name)
-        more = len(records) >= LEARNT_AT_ONCE
-        self._look(now)
-        return PeerReply(event.call, Vote.NONE, tuple(records), more, (), unready, covered)
-
-    def _known(self, now: int, asker: str, after: str) -> list[Known]:
-        """Give what this gateway owns or has granted of the asker's keys, in one order over all calls."""
-
-        def wanted(digest: str) -> bool:
-            return asker in witnesses_of(digest, self._members)
-
+    def _own(self, now: int) -> dict[str, Known]:
+        """Give the keys that this gateway owns."""
         for digest in [each for each, (_, until) in self._owned.items() if until <= now]:
             del self._owned[digest]
-        known = {each[0]: each for each in self.witness.known(now, after, wanted)}
-        mine = sorted(each for each in self._owned if each > after and wanted(each))[:LEARNT_AT_ONCE]
-        for digest in mine:
-            number, until = self._owned[digest]
-            known[digest] = digest, self._owner, number, until - now
-        return [known[each] for each in sorted(known)[:LEARNT_AT_ONCE]]
+        return {
+            digest: (digest, self._owner, number, until - now)
+            for digest, (number, until) in self._owned.items()
+        }
--- a/mintmast/decisions/gateways/covers.py
+++ b/mintmast/decisions/gateways/covers.py
@@ -15,6 +15,8 @@
   nobody is held aside towards one who is held aside himself on the same keys.
 * A gateway that is learning knows nothing that others could read: it says with whom it does not vote yet, and
   nothing is built on that.
+* Records that were kept over the death stand in for all that, if they are this gateway's last: another that
+  knows of a later life than they do says so, and one such answer makes this one ask all, as without records.
 * Words overtake each other: each has a version, and those of an earlier life are not booked.
 
 Two gateways out of reach at once are not covered: keys with both among their witnesses wait for one of them,
@@ -33,6 +35,14 @@
 # µs after which a gateway that did not answer is asked again
 ASK_AGAIN = SECOND
 NOBODY: frozenset[str] = frozenset()
+# after every digest: a question that asks for no records
+NO_RECORDS = "~"
+# writes who may be held aside towards another, then calls `then(now, good)`
+Save = Callable[[int, str, frozenset[str], Callable[[int, bool], None]], None]
+
+
+def _at_once(now: int, name: str, names: frozenset[str], then: Callable[[int, bool], None]) -> None:
+    then(now, True)
 
 
 @dataclass(slots=True)
@@ -43,6 +53,7 @@
     number: int  # of the last question
     start: int = 0
     pages: int = 0
+    records: bool = True
     unready: set[str] = field(default_factory=set)
     version: int = -1  # of the other's word that this is read for; -1 for none
 
@@ -63,6 +74,8 @@
 
     proof: Proof = Proof.NEVER_HEARD
     start: int = 0
+    before: int = 0  # its start before that
+    met: bool = False  # it answered, and knows of no life of this gateway that the records do not
     told: frozenset[str] | None = None  # those with whom it did not vote when it told all; None: it did not
     covers: frozenset[str] = NOBODY  # whom it said to cover for this gateway
     held: frozenset[str] = NOBODY
@@ -89,20 +102,43 @@
 class Covers:
     """One gateway's part. `members` are all gateways of the region, `emit` takes commands."""
 
-    def __init__(self, gateway: str, members: tuple[str, ...], emit: Callable[[object], None]) -> None:
-        self._gateway, self._emit = gateway, emit
+    def __init__(
+        self,
+        gateway: str,
+        members: tuple[str, ...],
+        emit: Callable[[object], None],
+        save: Save | None = None,
+    ) -> None:
+        self._gateway, self._emit, self._save = gateway, emit, save or _at_once
+        self._life: int | None = None  # the last start in the records, where they are whole
         self.others = {each: _Other() for each in sorted(members) if each != gateway}
         self._all = not self.others  # every other one told, or is gone
         self._voting = False
         self._asked = 0
+        self.stale = False  # the records are not the last
         self.begun = False  # claims that an earlier life voted on are decided by now
 
     # What may be done
 
     def ready(self, others: tuple[str, ...]) -> bool:
         """Tell whether this gateway may vote on keys that it witnesses together with these."""
+        if self._life is not None and others and not any(self.others[each].met for each in others):
+            return False
         return self.begun and (self._all or all(self._accounted(each, others) for each in others))
 
+    def restore(self, life: int, aside: dict[str, frozenset[str]]) -> None:
+        """Start from whole records: the last start in them, and who was held aside towards whom."""
+        self._life, self._all, self.begun = life, True, True
+        for name, names in aside.items():
+            if name in self.others:
+                self.others[name].held = names & self.others.keys()
+
+    def doubt(self) -> None:
+        """Take it that the records are not the last: ask all, as without."""
+        self._life, self._all, self._voting, self.begun = None, False, False, False
+        for other in self.others.values():
+            other.told, other.covers, other.read = None, NOBODY, None
+
     def _accounted(self, name: str, others: tuple[str, ...]) -> bool:
         if self._whole(name, others):
             return True
@@ -123,6 +159,9 @@
         """Tell whether it votes on all keys that can be decided: those with one other witness in reach."""
         if not self._voting:
             told = self._all or any(self._whole(each, ()) for each in self.others)
+            if self._life is not None and self.others:
+                self._voting = any(other.met for other in self.others.values())
+                return self._voting
             self._voting = self.begun and told and next(self._waits(), None) is None
         return self._voting
 
@@ -145,6 +184,8 @@
 
     def _settled(self, name: str, other: _Other, out: set[str] | frozenset[str] = NOBODY) -> bool:
         """Tell whether it votes on all keys with this one, but for those whose witnesses are all out."""
+        if self._life is not None and not other.met:
+            return False
         if self._all or other.told == NOBODY:
             return self.begun
         if len(self.others) == 1:
@@ -167,6 +208,7 @@
         other = self.others[name]
         if start > other.start:
             if other.start:
+                other.before = other.start
                 other.forget_word()
             other.read, other.cover.wanted = None, NOBODY
             other.start = start
@@ -184,12 +226,17 @@
             other.read = None  # pages of two lives do not make one whole
             return
         other.read, read.start, read.pages = read, start, read.pages + 1
+        if self._life is not None and event.before > self._life:
+            self.stale = True
+            return
+        other.met = True
         read.unready.update(event.unready if event.start else (self._gateway,))
         if event.more and event.records:
             self._question(now, event.peer, read, event.records[-1][0])
             return
         other.read = None
-        self._read_whole(other, read, event)
+        if read.records:
+            self._read_whole(other, read, event)
 
     def _read_whole(self, other: _Other, read: _Read, event: Learnt) -> None:
         covered = frozenset(event.covered) & self.others.keys()
@@ -209,13 +256,14 @@
         if all(each.told is not None or each.gone for each in self.others.values()):
             self._all = True
 
-    def asided(self, event: AsideTold) -> None:
+    def asided(self, now: int, event: AsideTold) -> None:
         """Take another gateway's word that it has booked who is held aside."""
         other = self.others[event.peer]
         version, names = other.sent
         if event.version == version:
             other.held = other.acked = names
             other.sent_until = 0
+            self._save(now, event.peer, names, lambda at, good: None)
 
     # What is told
 
@@ -261,8 +309,9 @@
             return False
         if other.read is None or now >= other.read.until:
             version = other.cover.version if pulls else -1
-            other.read = _Read(0, 0, version=version)
-            self._question(now, name, other.read, "")
+            records = pulls or not self._all
+            other.read = _Read(0, 0, version=version, records=records)
+            self._question(now, name, other.read, "" if records else NO_RECORDS)
         return True
 
     def _question(self, now: int, name: str, read: _Read, after: str) -> None:
@@ -280,7 +329,8 @@
             other.version += 1
             other.held |= wanted
             other.sent, other.sent_until = (other.version, wanted), now + ASK_AGAIN
-            self._emit(SendAside(name, other.start, tuple(sorted(wanted)), other.version, other.sent_until))
+            word = SendAside(name, other.start, tuple(sorted(wanted)), other.version, other.sent_until)
+            self._save(now, name, other.held, lambda at, good: self._emit(word) if good else None)
         return True
 
     def _wanted(self, name: str, other: _Other) -> frozenset[str]:
--- /dev/null
+++ b/mintmast/decisions/gateways/records.py
@@ -0,0 +1,190 @@
+"""What a gateway keeps over its death, when it must be on disk, and what a start may conclude from it.
+
+Each row of `WHEN` names what must not happen before the record is durable, and the danger if it did. What
+waits for nothing costs service when it is lost, never a second charge.
+
+Times are kept as time that gateways of this name have run, so that neither a wall clock that jumps nor a
+long death ends a record early: a record is kept longer by all the time that nobody ran.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+import msgspec
+
+from mintmast.decisions.gateways.witness import Record
+
+# µs of running after which the clock is written again; a start loses so much at most, that is, keeps longer
+CLOCK_EVERY = 60_000_000
+
+
+class Kind(Enum):
+    """What a record is about."""
+
+    LIFE = "life"
+    WHOLE = "whole"
+    GRANT = "grant"
+    ASIDE = "aside"
+    CLOCK = "clock"
+
+
+@dataclass(slots=True, frozen=True)
+class When:
+    """What a record comes before, if anything, and why."""
+
+    before: str
+    danger: str
+
+
+WHEN: dict[Kind, When] = {
+    Kind.LIFE: When(
+        "the first word under its start",
+        "two lives of one number: epochs, fences and words of the first would pass for the second's",
+    ),
+    Kind.WHOLE: When(
+        "",
+        "not written: the next start asks the others; written too early it would trust what is not all",
+    ),
+    Kind.GRANT: When(
+        "the vote is told",
+        "a vote that its witness forgets may be given again to another claim: a second charge",
+    ),
+    Kind.ASIDE: When(
+        "the word is sent",
+        "another vouches for what this gateway granted, and the next life votes as if it had not promised",
+    ),
+    Kind.CLOCK: When("", "records are kept longer than they need be"),
+}
+
+
+class Kept(msgspec.Struct, frozen=True, gc=False):
+    """One record as it is stored; `value` None takes it out."""
+
+    kind: str
+    key: str
+    value: bytes | None
+
+
+class Write(msgspec.Struct, frozen=True, gc=False):
+    """To the store: make these durable; with a `token`, `Written(token)` tells the end."""
+
+    records: tuple[Kept, ...]
+    token: int = 0
+
+
+class Written(msgspec.Struct, frozen=True, gc=False):
+    """The store: what was written under `token` is durable, or (not `good`) may be lost."""
+
+    token: int
+    good: bool
+
+
+class Grant(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """A witness's record of a key; `until` in µs of running."""
+
+    owner: str
+    number: int
+    until: int
+    released: tuple[tuple[str, int], ...] = ()
+
+
+_GRANTS = msgspec.msgpack.Decoder(Grant)
+
+
+@dataclass(slots=True)
+class Recovered:
+    """What a start has from before. `life` is the last start, 0 for none; `faults`, what was left out."""
+
+    life: int = 0
+    marked: bool = False  # a life before knew all that it and those before it had granted
+    ran: int = 0  # µs
+    grants: dict[str, tuple[Record, int]] = field(default_factory=dict)  # and µs still kept
+    aside: dict[str, frozenset[str]] = field(default_factory=dict)
+    faults: list[str] = field(default_factory=list)
+
+    @property
+    def whole(self) -> bool:
+        """Tell whether it may be taken for all that was ever told as durable."""
+        return self.marked and self.life > 0 and not self.faults
+
+
+def recover(rows: Iterable[Kept]) -> Recovered:
+    """Read what was kept. A record that does not make sense makes the whole of it doubtful, never a crash."""
+    found = Recovered()
+    grants: dict[str, Grant] = {}
+    for row in rows:
+        try:
+            if row.value is None:
+                raise ValueError("no value")
+            if row.kind == Kind.GRANT.value:  # a million of them at a start
+                grants[row.key] = _GRANTS.decode(row.value)
+                continue
+            match Kind(row.kind):
+                case Kind.LIFE:
+                    found.life = max(found.life, msgspec.msgpack.decode(row.value, type=int))
+                case Kind.WHOLE:
+                    found.marked = True
+                case Kind.CLOCK:
+                    found.ran = max(found.ran, msgspec.msgpack.decode(row.value, type=int))
+                case Kind.ASIDE:
+                    names = msgspec.msgpack.decode(row.value, type=tuple[str, ...])
+                    found.aside[row.key] = frozenset(names)
+        except (msgspec.MsgspecError, ValueError) as error:
+            found.faults.append(f"{row.kind} {row.key[:64]}: {error}")
+    for digest, grant in grants.items():
+        if grant.until > found.ran:
+            record = Record(grant.owner, grant.number, grant.released)
+            found.grants[digest] = record, grant.until - found.ran
+    return found
+
+
+def next_life(wall_ms: int, before: int) -> int:
+    """Give a start's number: the clock's, but never again one that was given; both in ms since 1970."""
+    return max(wall_ms, before + 1)
+
+
+class Keeper:
+    """Holds back what must not be told before its record is on disk; without a store nothing waits."""
+
+    def __init__(self, emit: Callable[[object], None]) -> None:
+        self._emit = emit
+        self.on = False
+        self._began = self._ran = self._told = 0
+        self._count = 0
+        self._waiting: dict[int, Callable[[int, bool], None]] = {}
+
+    def begin(self, now: int, ran: int) -> None:
+        """Start to keep, after so many µs that earlier lives ran."""
+        self.on, self._began, self._ran, self._told = True, now, ran, ran
+
+    def ran(self, now: int) -> int:
+        """Give µs that gateways of this name have run."""
+        return self._ran + now - self._began
+
+    def keep(
+        self, now: int, kind: Kind, key: str, value: object, then: Callable[[int, bool], None] | None = None
+    ) -> None:
+        """Write a record (None takes it out); `then(now, good)` hears that it is durable, or may be lost."""
+        if not self.on:
+            if then is not None:
+                then(now, True)
+            return
+        records = [Kept(kind.value, key, None if value is None else msgspec.msgpack.encode(value))]
+        if self.ran(now) - self._told >= CLOCK_EVERY:
+            self._told = self.ran(now)
+            records.append(Kept(Kind.CLOCK.value, "", msgspec.msgpack.encode(self._told)))
+        token = 0
+        if then is not None:
+            self._count += 1
+            token = self._count
+            self._waiting[token] = then
+        self._emit(Write(tuple(records), token))
+
+    def written(self, now: int, event: Written) -> None:
+        """Go on with what waited."""
+        then = self._waiting.pop(event.token, None)
+        if then is not None:
+            then(now, event.good)
--- a/mintmast/decisions/gateways/talk.py
+++ b/mintmast/decisions/gateways/talk.py
@@ -63,7 +63,8 @@
 
     `more` says that there is more after the last record; `whole` is false where no answer came. `start` is
     that of the gateway that answers; `unready` are those with whom as third witness it does not vote itself
-    on this gateway's keys; `covered` those held aside towards it by every life of this gateway.
+    on this gateway's keys; `covered` those held aside towards it by every life of this gateway; `before` is
+    the last start of this gateway that it knows of before the one that asks.
     """
 
     peer: str
@@ -74,6 +75,7 @@
     start: int = 0
     unready: tuple[str, ...] = ()
     covered: tuple[str, ...] = ()
+    before: int = 0
 
 
 class AsideTold(msgspec.Struct, frozen=True, gc=False):
@@ -149,3 +151,4 @@
     unready: tuple[str, ...] = ()
     covered: tuple[str, ...] = ()
     version: int = -1
+    before: int = 0
--- a/mintmast/decisions/gateways/witness.py
+++ b/mintmast/decisions/gateways/witness.py
@@ -91,6 +91,7 @@
     def __init__(self) -> None:
         self._records: dict[str, Record] = {}
         self._until: dict[str, int] = {}
+        self.forgotten: list[str] = []  # since someone took note
 
     def __len__(self) -> int:
         return len(self._records)
@@ -116,6 +117,14 @@
         record = learn(self._records.get(digest, Record()), owner, number)
         self._put(digest, record, now + min(keep, LONGEST + KEPT))
 
+    def record(self, digest: str) -> tuple[Record, int]:
+        """Give what is remembered of a key, and until when (µs)."""
+        return self._records.get(digest, Record()), self._until.get(digest, 0)
+
+    def restore(self, now: int, digest: str, record: Record, keep: int) -> None:
+        """Take a record of an earlier life, still to be kept for so long."""
+        self._put(digest, record, now + keep)
+
     def known(self, now: int, after: str, wanted: Callable[[str], bool]) -> list[Known]:
         """Give records that are held and wanted, by digest, those after one, at most `LEARNT_AT_ONCE`."""
         rest = sorted(each for each, record in self._records.items() if each > after and record.owner)
@@ -135,5 +144,6 @@
         for digest in [each for each, _ in zip(self._until, range(4), strict=False)]:
             if self._until[digest] <= now:
                 del self._until[digest], self._records[digest]
+                self.forgotten.append(digest)
             else:
                 self._until[digest] = self._until.pop(digest)
--- /dev/null
+++ b/mintmast/decisions/gateways/witnessing.py
@@ -0,0 +1,228 @@
+"""A gateway's part as a witness of paid keys: it votes, learns, lets others learn, and keeps what it must.
+
+`witness.py` has one key's machine, `covers.py` says on which keys it may vote, `records.py` what is on disk
+before a word leaves; here they come together.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from mintmast.decisions.gateways.covers import Covers
+from mintmast.decisions.gateways.records import Grant, Keeper, Kind, Recovered
+from mintmast.decisions.gateways.talk import (
+    AsideTold,
+    Condemned,
+    Known,
+    Learnt,
+    PeerCall,
+    PeerReply,
+    PeerStands,
+    Vote,
+)
+from mintmast.decisions.gateways.witness import LEARNT_AT_ONCE, Witness, witnesses_of
+from mintmast.decisions.messages import Say, Wake
+
+SECOND = 1_000_000
+# µs in which a vote counts: some round trips within a region and a turn of a busy loop; a viewer of a paid
+# title waits seconds. All that a starting witness must wait for
+CLAIM_TIME = SECOND // 4
+# µs between looks at what is to be asked of others and told to them
+LOOK_AGAIN = SECOND
+
+Names = tuple[str, ...]
+
+
+class Witnessing:
+    """One gateway's part. `own(now)` gives the keys that it owns itself, `emit` takes commands."""
+
+    def __init__(
+        self,
+        gateway: str,
+        start: int,
+        members: Names,
+        emit: Callable[[object], None],
+        own: Callable[[int], dict[str, Known]],
+    ) -> None:
+        self._gateway, self._start, self._members = gateway, start, members
+        self._emit, self._own = emit, own
+        self.witness = Witness()
+        self.keeper = Keeper(emit)
+        self.covers = Covers(gateway, members, emit, self._save_aside)
+        self.condemned = ""
+        self._marked = False  # the records are known to be whole on disk
+        self._wakes_at = 0
+        self._said: tuple[bool, list[str]] | None = None
+
+    @property
+    def voting(self) -> bool:
+        """Tell whether this gateway votes on all keys that can be decided."""
+        return self.covers.voting and not self.condemned
+
+    def state(self) -> dict[str, object]:
+        """Tell operators what this gateway does as a witness."""
+        return {"votes": self.voting, "records": len(self.witness), **self.covers.state()}
+
+    def vote(
+        self,
+        now: int,
+        digest: str,
+        owner: str,
+        number: int,
+        keep: int,
+        then: Callable[[int, Vote, Names], None],
+    ) -> None:
+        """Vote on a claim; `then(now, vote, without whom)` hears of it once it is durable."""
+        witnesses = witnesses_of(digest, self._members)
+        others = tuple(each for each in witnesses if each != self._gateway)
+        if self.condemned or self._gateway not in witnesses or not self.covers.ready(others):
+            then(now, Vote.NONE, ())
+            return
+        without = self.covers.without(others)
+        told = self.witness.vote(now, digest, owner, number, keep)
+        if told is not Vote.GRANTED:
+            then(now, told, ())
+            return
+        self._save(now, digest, lambda at, good: then(at, told if good else Vote.NONE, without))
+
+    def release(self, now: int, digest: str, owner: str, number: int) -> None:
+        """Take a release."""
+        self.witness.release(now, digest, owner, number)
+        self._save(now, digest)
+
+    def begin_learning(self, now: int, kept: Recovered | None = None) -> None:
+        """Start, with what was kept of earlier lives; without a store nothing is known of them."""
+        if not self._members:
+            return
+        wait = 2 * CLAIM_TIME
+        if kept is not None:
+            self.keeper.begin(now, kept.ran)
+            for digest, (record, keep) in kept.grants.items():
+                self.witness.restore(now, digest, record, keep)
+            if kept.whole:
+                self.covers.restore(kept.life, kept.aside)
+                self._marked, wait = True, 0
+            for fault in kept.faults[:10]:
+                self._emit(Say("record_doubtful", (("fault", fault),)))
+            told = (("life", kept.life), ("records", len(kept.grants)), ("whole", kept.whole))
+            self._emit(Say("recovered", told))
+        self._emit(Wake(now + wait, ("learn",)))
+
+    def _save(self, now: int, digest: str, then: Callable[[int, bool], None] | None = None) -> None:
+        """Write what the witness remembers of a key, and take out what it has forgotten."""
+        gone, self.witness.forgotten = self.witness.forgotten, []
+        for each in gone:
+            self.keeper.keep(now, Kind.GRANT, each, None)
+        record, until = self.witness.record(digest)
+        if self.keeper.on:
+            until += self.keeper.ran(now) - now
+        value = Grant(record.owner, record.number, until, record.released)
+        self.keeper.keep(now, Kind.GRANT, digest, value, then)
+
+    def _save_aside(
+        self, now: int, name: str, names: frozenset[str], then: Callable[[int, bool], None]
+    ) -> None:
+        self.keeper.keep(now, Kind.ASIDE, name, tuple(sorted(names)), then)
+
+    def learn(self, now: int) -> None:
+        """Take it that the time of a look has come: the first one after what was under way is over."""
+        self.covers.begun, self._wakes_at = True, 0
+        self._look(now)
+
+    def _look(self, now: int) -> None:
+        """Ask and tell the others what is due. Danger: a question is lost, and never asked again."""
+        if not self.covers.begun:
+            return
+        if self.covers.stale:
+            self.covers.stale = False
+            self.covers.doubt()
+            self._marked = False
+            self.keeper.keep(now, Kind.WHOLE, "", None)
+            self._emit(Say("records_old", (("why", "another gateway knows of a later life than they do"),)))
+            self._emit(Wake(now + 2 * CLAIM_TIME, ("learn",)))
+            return
+        if self.covers.go_on(now) and not self._wakes_at:
+            self._wakes_at = now + LOOK_AGAIN
+            self._emit(Wake(self._wakes_at, ("learn",)))
+        told = self.covers.voting, self.covers.waits_for()
+        if told[0] and not told[1] and not self._marked:
+            self._marked = True
+            self.keeper.keep(now, Kind.WHOLE, "", self._start)
+        if told != self._said:
+            self._said = told
+            name = "witness_votes" if told[0] else "witness_waits"
+            self._emit(Say(name, (("records", len(self.witness)), ("waits_for", told[1]))))
+
+    def learnt(self, now: int, event: Learnt) -> None:
+        """Take what another gateway knows."""
+        for digest, owner, number, keep in event.records:
+            if self._gateway in witnesses_of(digest, self._members):
+                self.witness.learn(now, digest, owner, number, keep)
+                self._save(now, digest)
+        self.covers.learnt(now, event)
+        self._look(now)
+
+    def asided(self, now: int, event: AsideTold) -> None:
+        """Take note that another gateway has booked who is held aside, or has not."""
+        self.covers.asided(now, event)
+        self._look(now)
+
+    def stands(self, now: int, event: PeerStands) -> None:
+        """Take how another gateway stands."""
+        if event.peer in self.covers.others:
+            self.covers.stands(event.peer, event.proof, event.start)
+            self._look(now)
+
+    def condemn(self, now: int, event: Condemned) -> None:
+        """Take it that another process has this name, or that this one is held for dead: it owns nothing new.
+
+        Danger: two processes of one name are one witness with two memories.
+        """
+        self.condemned = event.why
+
+    def called(self, now: int, event: PeerCall) -> None:
+        """Answer another gateway."""
+        name, _, start = event.owner.partition("/")
+        if event.learn is not None or event.aside is not None:
+            self._emit(self._told(now, event, name, start))
+        elif event.release:
+            self.release(now, event.digest, event.owner, event.number)
+            self._emit(PeerReply(event.call))
+        else:
+
+            def told(at: int, vote: Vote, without: Names) -> None:
+                self._emit(PeerReply(event.call, vote, without=without))
+
+            self.vote(now, event.digest, event.owner, event.number, event.keep, told)
+
+    def _told(self, now: int, event: PeerCall, name: str, start: str) -> PeerReply:
+        try:
+            number = int(start, 16)
+        except ValueError:
+            return PeerReply(event.call)
+        if name not in self.covers.others:
+            return PeerReply(event.call)
+        self.covers.lives(name, number)
+        if event.aside is not None:
+            mine = event.to == self._start
+            booked = self.covers.book(name, number, event.version, event.aside) if mine else -1
+            self._look(now)
+            return PeerReply(event.call, version=booked)
+        records = self._known(now, name, event.learn or "")
+        unready, covered = self.covers.tell(name)
+        more = len(records) >= LEARNT_AT_ONCE
+        self._look(now)
+        before = self.covers.others[name].before
+        return PeerReply(event.call, Vote.NONE, tuple(records), more, (), unready, covered, -1, before)
+
+    def _known(self, now: int, asker: str, after: str) -> list[Known]:
+        """Give what this gateway owns or has granted of the asker's keys, in one order over all calls."""
+
+        def wanted(digest: str) -> bool:
+            return asker in witnesses_of(digest, self._members)
+
+        known = {each[0]: each for each in self.witness.known(now, after, wanted)}
+        mine = self._own(now)
+        for digest in sorted(each for each in mine if each > after and wanted(each))[:LEARNT_AT_ONCE]:
+            known[digest] = mine[digest]
+        return [known[each] for each in sorted(known)[:LEARNT_AT_ONCE]]
--- a/mintmast/decisions/sessions/book.py
+++ b/mintmast/decisions/sessions/book.py
@@ -16,6 +16,7 @@
 
 from mintmast import interface as api
 from mintmast.decisions.gateways.claims import Claims
+from mintmast.decisions.gateways.records import Recovered, Written
 from mintmast.decisions.gateways.talk import AsideTold, Condemned, Learnt, PeerCall, PeerStands, Voted
 from mintmast.decisions.messages import (
     Ask,
@@ -100,21 +101,22 @@
             HostLost: self.fleet.lost,
             HostDrain: self.fleet.host_drains,
             HostNote: self.fleet.note,
-            PeerCall: lambda now, e: self.claims.called(now, e),
+            PeerCall: lambda now, e: self.claims.part.called(now, e),
             Voted: lambda now, e: self.claims.voted(now, e),
-            Learnt: lambda now, e: self.claims.learnt(now, e),
-            AsideTold: lambda now, e: self.claims.asided(now, e),
-            PeerStands: lambda now, e: self.claims.stands(now, e),
-            Condemned: lambda now, e: self.claims.condemn(now, e),
+            Learnt: lambda now, e: self.claims.part.learnt(now, e),
+            AsideTold: lambda now, e: self.claims.part.asided(now, e),
+            PeerStands: lambda now, e: self.claims.part.stands(now, e),
+            Condemned: lambda now, e: self.claims.part.condemn(now, e),
+            Written: lambda now, e: self.claims.part.keeper.written(now, e),
             Drain: self.fleet.order,
             ListNews: self.fleet.news,
             Due: self._due,
         }
 
-    def start(self, now: int) -> list[Command]:
-        """Begin; the first call."""
+    def start(self, now: int, kept: Recovered | None = None) -> list[Command]:
+        """Begin, with what was kept of earlier lives where there is a store; the first call."""
         self._out = []
-        self.claims.begin_learning(now)
+        self.claims.part.begin_learning(now, kept)
         self.feed(now, api.Started())
         return self._out
 
@@ -396,7 +398,7 @@
             case ("claim", number):
                 self.claims.again(now, number)
             case ("learn",):
-                self.claims.learn(now)
+                self.claims.part.learn(now)
             case ("watches",):
                 self.fleet.handover.more_lines(now)
             case ("entries",):
--- a/mintmast/gateway.py
+++ b/mintmast/gateway.py
@@ -6,13 +6,15 @@
 import random
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 
 from mintmast.config import Config
 from mintmast.core import Core
+from mintmast.core.ports import StorePort
 from mintmast.decide import Controller
+from mintmast.decisions.gateways.records import Recovered, Written
 from mintmast.decisions.gateways.standing import Proof
 from mintmast.fronts.dash import DashFront
 from mintmast.hosts.media import MediaHosts
@@ -29,6 +31,16 @@
 REGISTER_EVERY = 30_000_000
 
 
+class Store(StorePort, Protocol):
+    """What the gateway asks of an opened store."""
+
+    start: int
+    kept: Recovered
+
+    def attach(self, written: Callable[[Written], None], say: Callable[..., None]) -> None:
+        """Tell who hears the end of writes, and who takes log lines."""
+
+
 class DrainOrder(msgspec.Struct):
     """What an operator asks of a host; `within_s` is how soon it is to be empty."""
 
@@ -44,7 +56,10 @@
 
 
 class Gateway:
-    """One gateway on a loop. `say(event, **fields)` takes log lines; `table` is for drills that mutate it."""
+    """One gateway on a loop. `say(event, **fields)` takes log lines; `table` is for drills that mutate it.
+
+    `store` has been opened: it tells the start's number and what was kept.
+    """
 
     def __init__(
         self,
@@ -53,6 +68,7 @@
         seed: int | None = None,
         say: Callable[..., None] = lambda event, **fields: None,
         table: dict | None = None,
+        store: Store | None = None,
     ) -> None:
         self.loop, self.config = loop, config
         if seed is None:
@@ -65,7 +81,7 @@
             self._listeners.append(Traces(share, seed, say, loop.wall).take)
         settings = config.settings
         hosts = config["hosts"]
-        start = int(loop.wall() * 1000)
+        start = int(loop.wall() * 1000) if store is None else store.start
         self.controller = Controller(settings, seed)
         self.hosts = MediaHosts(
             loop,
@@ -116,7 +132,10 @@
                 loop, node, register, name, host, self.dash.server.port, REGISTER_EVERY
             )
             self.registration.start()
-        self.core.begin()
+        if store is not None:
+            self.core.store = store
+            store.attach(self.core.written, self.say)
+        self.core.begin(None if store is None else store.kept)
         self.say("serving", port=self.dash.server.port, start=start, hosts=len(config.entries))
 
     def _meet(self, told: dict[str, Any], start: int, seed: int) -> None:
@@ -154,6 +173,8 @@
             return
         self.metrics.held.set(self.core.book.held)
         self.metrics.late.set(self.core.book.set_ups.late)
+        if self.core.store is not None:
+            self.metrics.store(self.core.store.failing)
         if self.roster is not None:
             self.metrics.roster(self.members(), [each.name.lower() for each in Proof])
         exchange.respond(200, [("Content-Type", "text/plain; version=0.0.4")], self.metrics.text())
@@ -196,7 +217,7 @@
         """Tell what is believed of the other gateways, and what this one does as a witness of paid keys."""
         if self.roster is None:
             return {}
-        return {**self.roster.state(), "witness": self.core.book.claims.state()}
+        return {**self.roster.state(), "witness": self.core.book.claims.part.state()}
 
     def _drain(self, exchange: Exchange) -> None:
         try:
@@ -241,3 +262,5 @@
             self.peers.close()
         if self.admin is not None:
             self.admin.close()
+        if self.core.store is not None:
+            self.core.store.close()
--- /dev/null
+++ b/mintmast/lab/disk.py
@@ -0,0 +1,79 @@
+"""A disk in memory for drills: records that outlive a gateway's process, and what a crash may do to them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from mintmast.decisions.gateways.records import (
+    Kept,
+    Kind,
+    Recovered,
+    Write,
+    Written,
+    next_life,
+    recover,
+)
+from mintmast.loop.memory import Node, World
+
+# µs of a flush: the range of a disk that others use too
+FLUSH = (500, 8000)
+
+
+class Disk:
+    """What is on disk of one gateway. A write that was under way at a crash may have come, by record."""
+
+    def __init__(self, seed: str) -> None:
+        self.rows: dict[tuple[str, str], Kept] = {}
+        self.random = random.Random(seed)
+        self.kept_unflushed = 0
+
+    def put(self, records: tuple[Kept, ...]) -> None:
+        """Make these durable."""
+        for each in records:
+            if each.value is None:
+                self.rows.pop((each.kind, each.key), None)
+            else:
+                self.rows[each.kind, each.key] = each
+
+
+class MemoryStore:
+    """One life's line to its disk."""
+
+    failing = ""
+
+    def __init__(
+        self, world: World, node: Node, disk: Disk, wall_ms: int, flush: tuple[int, int] = FLUSH
+    ) -> None:
+        self._flush_time = flush
+        self._world, self._node, self._disk = world, node, disk
+        self.kept: Recovered = recover(disk.rows.values())
+        self.start = next_life(wall_ms, self.kept.life)
+        disk.put((Kept(Kind.LIFE.value, "", msgspec.msgpack.encode(self.start)),))
+        self._written: Callable[[Written], None] = lambda event: None
+        self._last = 0
+
+    def attach(self, written: Callable[[Written], None], say: Callable[..., None]) -> None:
+        """Tell who hears the end of writes."""
+        self._written = written
+
+    def write(self, command: Write) -> None:
+        """Flush after a while; writes end in the order in which they came."""
+        at = self._world.time + self._disk.random.randint(*self._flush_time)
+        self._last = max(self._last, at)
+        self._world.at(self._last, self._flush, command)
+
+    def _flush(self, command: Write) -> None:
+        if self._node.alive:
+            self._disk.put(command.records)
+            if command.token:
+                self._node.do(self._written, Written(command.token, True))
+            return
+        part = tuple(each for each in command.records if self._disk.random.random() < 0.5)
+        self._disk.kept_unflushed += len(part)
+        self._disk.put(part)
+
+    def close(self) -> None:
+        """Nothing: what was written is flushed in its time."""
--- a/mintmast/lab/drills/day.py
+++ b/mintmast/lab/drills/day.py
@@ -66,7 +66,8 @@
     """A family of scripted days: `script(stage, day, seed)` sets the faults.
 
     `prepare(stage, day)` puts in place what must stand before the gateways start; `load` draws the viewers;
-    `links` puts a link between every two gateways, whose views are asked for and checked.
+    `links` puts a link between every two gateways, whose views are asked for and checked;
+    with `stores` they keep records over their death.
     """
 
     script: Callable[[Any, Day, int], None]
@@ -74,6 +75,7 @@
     prepare: Callable[[Any, Day], None] = lambda stage, day: None
     load: Callable[[Any, Day, int], Any] | None = None
     links: bool = False
+    stores: bool = False
 
 
 def settings(day: Day) -> dict[str, Any]:
--- a/mintmast/lab/drills/frame.py
+++ b/mintmast/lab/drills/frame.py
@@ -11,7 +11,7 @@
 
 from mintmast.decisions.sessions.moves import END_QUICK
 from mintmast.lab.audit import Findings, Terms, audit, membership, moves, worth
-from mintmast.lab.drills import bad_day, drain, files, members, registry, roaming
+from mintmast.lab.drills import bad_day, drain, files, kill, members, registry, roaming
 from mintmast.lab.drills.day import Day, Drill, model, settings
 from mintmast.lab.drills.viewers import Viewers
 from mintmast.lab.loopback import LoopbackStage
@@ -24,7 +24,7 @@
 # µs between questions what gateways believe of each other
 LOOK_EVERY = 250_000
 DRILLS: dict[str, Drill] = {}
-for _family in (registry, files, bad_day, drain, roaming, members):
+for _family in (registry, files, bad_day, drain, roaming, members, kill):
     DRILLS.update(_family.DRILLS)
 
 
@@ -62,6 +62,7 @@
     with built_in(mutate), closing(stage):
         for number in range(day.hosts):
             stage.start_host(number)
+        stage.stores = drill.stores
         drill.prepare(stage, day)
         if drill.links:
             stage.lay_links()
--- a/mintmast/lab/loopback.py
+++ b/mintmast/lab/loopback.py
@@ -118,9 +118,12 @@
         name = self.machine(number)
         listen = {"host": self.address, "port": self._port(name)}
         saved, log = str(folder / f"{name}.list"), str(folder / f"{name}.log")
+        more: dict[str, Any] = {"testing": {"wall_shift_s": wall_shift}}
+        if self.stores:
+            more["store"] = {"path": str(folder / f"{name}.store")}
         if not files:
-            Path(saved).unlink(missing_ok=True)
-        more = {"testing": {"wall_shift_s": wall_shift}}
+            for each in [saved, *map(str, folder.glob(f"{name}.store*"))]:
+                Path(each).unlink(missing_ok=True)
         if self.links is not None:
             more["admin"] = {"host": self.address, "port": self._port(f"{name}-admin"), "token": SECRET}
         settings = self.gateway_settings(
--- a/mintmast/lab/mutant.py
+++ b/mintmast/lab/mutant.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 from typing import Any
 
-from mintmast.decisions.gateways import members
+from mintmast.decisions.gateways import members, records
 from mintmast.decisions.gateways.standing import Proof, Standing, State
 from mintmast.decisions.outcomes import TABLE, Evidence, Row
 from mintmast.interface import Outcome
@@ -25,6 +25,15 @@
     _set(self, now, member, standing, proof)
 
 
+_keep = records.Keeper.keep
+
+
+def _told_early(self: records.Keeper, now: int, kind: Any, key: str, value: Any, then: Any = None) -> None:
+    _keep(self, now, kind, key, value)
+    if then is not None:
+        then(now, True)
+
+
 # rows of the outcome table that are wrong
 ROWS: dict[str, dict[Evidence, Row]] = {
     "resend-paid": {
@@ -37,6 +46,7 @@
 FAULTS: dict[str, tuple[Any, str, Any]] = {
     "no-refutation": (members, "refuted", lambda own, told: own),
     "lost-is-dead": (members.Members, "_set", _lost_is_dead),
+    "told-early": (records.Keeper, "keep", _told_early),
 }
 MUTATIONS = (*ROWS, *FAULTS)
 
--- a/mintmast/lab/stage.py
+++ b/mintmast/lab/stage.py
@@ -17,6 +17,7 @@
 from mintmast.fronts.tokens import Keys, SessionTokens
 from mintmast.gateway import Gateway
 from mintmast.http.client import ClientLimits, HttpClient
+from mintmast.lab.disk import FLUSH, Disk, MemoryStore
 from mintmast.lab.hostmodel import HostModel, Rack
 from mintmast.lab.mutant import mutated
 from mintmast.lab.registry import RegistryStandIn
@@ -46,6 +47,8 @@
         self.lives: dict[int, int] = {}
         self.origin = 0
         self.secrets = [SECRET]
+        self.stores = False  # whether gateways keep records over their death
+        self.flush = FLUSH
         self._moved: dict[int, str] = {}  # machines of gateways that are not where the settings say
         self._draw = random.Random(f"{seed}/answers")
 
@@ -204,6 +207,7 @@
         self.client = HttpClient(self.viewers, ClientLimits(connect_time=1_000_000))
         self.gateways: dict[int, Gateway] = {}
         self._vanished: set[int] = set()
+        self._disks: dict[int, Disk] = {}
         self.log: list[tuple[str, dict[str, Any]]] = []
 
     def now(self) -> int:
@@ -232,7 +236,7 @@
         self.world.nodes[f"host{number}"].kill()
 
     def start_gateway(self, number: int, files: bool = True, wall_shift: float = 0.0) -> None:
-        """Start a gateway, or start it anew, its wall clock wrong by so many seconds; there are no files."""
+        """Start a gateway, or start it anew, its wall clock wrong by so many seconds."""
         if number in self._vanished:
             self._vanished.discard(number)
             self.world.cuts = {pair for pair in self.world.cuts if f"gw{number}" not in pair}
@@ -242,7 +246,13 @@
         listen = {"host": self.machine(number), "port": GATEWAY_PORT}
         config = parse(self.gateway_settings(number, listen=listen))
         say = self._say if os.environ.get("MINTMAST_DRILL_LOG") else lambda event, **fields: None
-        self.gateways[number] = Gateway(node, config, None, say, mutated(self.mutate))
+        store = None
+        if self.stores:
+            if not files:
+                self._disks.pop(number, None)
+            disk = self._disks.setdefault(number, Disk(f"{self.seed}/disk{number}"))
+            store = MemoryStore(self.world, node, disk, int(node.wall() * 1000), self.flush)
+        self.gateways[number] = Gateway(node, config, None, say, mutated(self.mutate), store)
 
     def _say(self, event: str, **fields: Any) -> None:
         print(json.dumps({"at": self.world.time, "event": event, **fields}), file=sys.stderr)
@@ -302,7 +312,7 @@
     def votes(self, number: int) -> bool:
         """Tell whether a gateway votes as a witness."""
         alive = self.world.nodes[self.machine(number)].alive
-        return alive and self.gateways[number].core.book.claims.voting
+        return alive and self.gateways[number].core.book.claims.part.voting
 
     def gateway_url(self, number: int) -> str:
         """Give where a gateway serves."""
--- a/mintmast/loop/real.py
+++ b/mintmast/loop/real.py
@@ -100,6 +100,14 @@
             stream.watch()
         return stream
 
+    def adopt(self, sock: socket.socket, handler: Handler, limits: Limits = DEFAULT) -> _Stream:
+        """Take over a connected socket, as one of a pair; `handler` hears `opened` in the next turn."""
+        sock.setblocking(False)
+        stream = _Stream(self, sock, handler, limits, ("", 0), connecting=False)
+        stream.watch()
+        self.call_soon(handler.opened, stream)
+        return stream
+
     def datagrams(self, host: str, port: int, take: Callable[[bytes, tuple[str, int]], Any]) -> _Port:
         """Take and send datagrams at an address. Raises OSError."""
         return _Port(self, host, port, take)
--- a/mintmast/peers/lines.py
+++ b/mintmast/peers/lines.py
@@ -70,6 +70,7 @@
     unready: tuple[str, ...] = ()
     covered: tuple[str, ...] = ()
     version: int = -1
+    before: int = 0
 
 
 class PeerLines:
@@ -131,8 +132,8 @@
                 (digest, owner, number, keep * 1000) for digest, owner, number, keep in answer.records
             )
             more = answer.more and bool(records)
-            start, unready, covered = answer.start, answer.unready, answer.covered
-            self._events.heard(Learnt(call.peer, records, more, True, call.number, start, unready, covered))
+            about = answer.start, answer.unready, answer.covered, answer.before
+            self._events.heard(Learnt(call.peer, records, more, True, call.number, *about))
 
         self._call(call.peer, self._body(learn=call.after), call.until, done)
 
@@ -215,14 +216,12 @@
             keep = max(0, body.keep_ms) * 1000
             digest, number = body.digest[:64], body.number
             aside = body.aside, body.version, body.to
-            told = self._events.called(
-                PeerCall(0, body.owner, digest, number, keep, body.release, body.learn, *aside)
-            )
-            self._respond(exchange, told, mac)
+            call = PeerCall(0, body.owner, digest, number, keep, body.release, body.learn, *aside)
+            self._events.called(call, lambda told: self._respond(exchange, told, mac))
 
     def _respond(self, exchange: Exchange, told: PeerReply, mac: str) -> None:
         records = tuple((digest, owner, number, keep // 1000) for digest, owner, number, keep in told.records)
-        more = told.more, told.without, self._start, told.unready, told.covered, told.version
+        more = told.more, told.without, self._start, told.unready, told.covered, told.version, told.before
         data = msgspec.json.encode(Answer(told.vote.value, records, *more))
         signed = self._mac(self._secrets[0], mac.encode() + data)
         exchange.respond(200, [("Content-Type", "application/json"), (MAC, signed)], data)
--- a/mintmast/process.py
+++ b/mintmast/process.py
@@ -4,11 +4,13 @@
 
 import signal
 import sys
+import time
 
 from mintmast.config import ConfigError, load
 from mintmast.fronts.tokens import TokenError
 from mintmast.gateway import Gateway
 from mintmast.loop.real import SelectorLoop, settle_memory
+from mintmast.store import StoreError, StoreLine, open_store
 from mintmast.telemetry.lines import line_writer, open_log
 
 
@@ -24,12 +26,21 @@
     except OSError as error:
         print(f"mintmast: telemetry/log: {error}", file=sys.stderr)
         return 2
+    store, kept = None, config.raw.get("store")
+    try:
+        if kept is not None:
+            shift = config["testing"]["wall_shift_s"]
+            store = open_store(kept["path"], config["gateway"], int((time.time() + shift) * 1000))
+    except StoreError as error:
+        print(f"mintmast: store: {error}", file=sys.stderr)
+        return 2
     loop = SelectorLoop()
     loop.wall_shift = config["testing"]["wall_shift_s"]
     say = line_writer(sink, loop.wall, gateway=config["gateway"])
     loop._on_error = lambda text: say("error", text=text)
     try:
-        gateway = Gateway(loop, config, None, say, table)
+        line = None if store is None else StoreLine(loop, store)
+        gateway = Gateway(loop, config, None, say, table, line)
     except (TokenError, OSError) as error:
         print(f"mintmast: {error}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/mintmast/store/engine.py
@@ -0,0 +1,139 @@
+"""Records in an SQLite file: a row a record, each with a checksum of its own; a commit is durable on return.
+
+SQLite's write-ahead log ends at the last commit that is whole, whatever is cut behind it; a flipped bit in
+the main file it may not see, the rows' checksums do. `docs/design/durable-records.md` has the format.
+"""
+
+from __future__ import annotations
+
+import sqlite3
+import time
+import zlib
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any
+
+from mintmast.decisions.gateways.records import Kept
+
+# of the file's layout; a newer one is refused untouched
+FORMAT = 1
+# marks the file as this program's (SQLite's application_id): "mmst"
+MARK = 0x6D6D7374
+
+
+class StoreError(Exception):
+    """The store cannot be used; one line that says why."""
+
+
+def _sum(kind: str, key: str, value: bytes) -> int:
+    return zlib.crc32(b"\0".join((kind.encode(), key.encode(), value)))
+
+
+class Engine:
+    """One gateway's file. Raises StoreError where it cannot be had, is another program's, or is newer.
+
+    A file of another gateway is moved aside, and a new one begun; `moved` tells where to.
+    """
+
+    def __init__(self, path: str, gateway: str, read_only: bool = False) -> None:
+        self.path, self.moved, self.doubtful = path, "", 0
+        self._db: Any = None
+        try:
+            self._open(read_only)
+            owner = self._owner()
+            if owner and gateway and owner != gateway and not read_only:
+                self.close()
+                self.moved = self._aside(owner)
+                self._open(read_only)
+                owner = ""
+            if not owner and not read_only:
+                with self._db:
+                    self._db.execute("INSERT INTO owner VALUES (?)", (gateway,))
+            self.gateway = owner or gateway
+        except sqlite3.Error as error:
+            self.close()
+            raise StoreError(f"{path}: {error}") from None
+        except StoreError:
+            self.close()
+            raise
+
+    def _open(self, read_only: bool) -> None:
+        path = Path(self.path).resolve()
+        if read_only and not path.exists():
+            raise StoreError(f"{self.path}: there is no such file")
+        # a moment of waiting: the process before may be ending just now
+        uri = f"{path.as_uri()}?mode={'ro' if read_only else 'rwc'}"
+        self._db = sqlite3.connect(uri, timeout=1.0, uri=True)
+        (mark,) = self._db.execute("PRAGMA application_id").fetchone()
+        (version,) = self._db.execute("PRAGMA user_version").fetchone()
+        (tables,) = self._db.execute("SELECT count(*) FROM sqlite_master").fetchone()
+        if (tables or mark) and mark != MARK:
+            raise StoreError(f"{self.path}: this is no store of mintmast")
+        if version > FORMAT:
+            raise StoreError(f"{self.path}: format {version} is newer than {FORMAT}")
+        if read_only:
+            return
+        self._db.execute("PRAGMA locking_mode = EXCLUSIVE")  # a second process on the file does not start
+        self._db.execute("PRAGMA journal_mode = WAL")
+        self._db.execute("PRAGMA synchronous = FULL")
+        self._db.execute(f"PRAGMA application_id = {MARK}")
+        self._db.execute(f"PRAGMA user_version = {FORMAT}")
+        with self._db:
+            self._db.execute("CREATE TABLE IF NOT EXISTS owner (gateway TEXT NOT NULL)")
+            self._db.execute(
+                "CREATE TABLE IF NOT EXISTS records (kind TEXT NOT NULL, key TEXT NOT NULL,"
+                " value BLOB NOT NULL, sum INTEGER NOT NULL, PRIMARY KEY (kind, key)) WITHOUT ROWID"
+            )
+
+    def _owner(self) -> str:
+        row = self._db.execute("SELECT gateway FROM owner").fetchone()
+        return row[0] if row else ""
+
+    def _aside(self, owner: str) -> str:
+        name = f"{self.path}.of-{owner}-{int(time.time())}"
+        Path(self.path).rename(name)
+        return name
+
+    def rows(self) -> Iterator[Kept]:
+        """Give all records; one whose checksum is wrong has no value, and is counted as doubtful."""
+        for kind, key, value, told in self._db.execute("SELECT kind, key, value, sum FROM records"):
+            good = isinstance(value, bytes) and _sum(str(kind), str(key), value) == told
+            self.doubtful += not good
+            yield Kept(str(kind), str(key), value if good else None)
+
+    def write(self, records: Iterable[Kept]) -> None:
+        """Make these durable, all or none. Raises StoreError."""
+        try:
+            with self._db:
+                for each in records:
+                    if each.value is None:
+                        self._db.execute(
+                            "DELETE FROM records WHERE kind = ? AND key = ?", (each.kind, each.key)
+                        )
+                        continue
+                    row = each.kind, each.key, each.value, _sum(each.kind, each.key, each.value)
+                    self._db.execute("INSERT OR REPLACE INTO records VALUES (?, ?, ?, ?)", row)
+        except sqlite3.Error as error:
+            raise StoreError(f"{self.path}: {error}") from None
+
+    def verify(self) -> list[str]:
+        """Give what is wrong with the file; nothing where it is whole."""
+        try:
+            said = [row[0] for row in self._db.execute("PRAGMA integrity_check(10)")]
+            faults = [f"SQLite says: {each}" for each in said if each != "ok"]
+            faults += [f"{row.kind} {row.key}: checksum" for row in self.rows() if row.value is None]
+        except sqlite3.Error as error:
+            faults = [str(error)]
+        return faults
+
+    def compact(self) -> None:
+        """Give room back. Raises StoreError."""
+        try:
+            self._db.execute("VACUUM")
+        except sqlite3.Error as error:
+            raise StoreError(f"{self.path}: {error}") from None
+
+    def close(self) -> None:
+        """Close the file."""
+        if self._db is not None:
+            self._db.close()
--- /dev/null
+++ b/mintmast/store/line.py
@@ -0,0 +1,160 @@
+"""The gateway's end of its store: opens it before the loop runs, and writes without ever waiting."""
+
+from __future__ import annotations
+
+import socket
+import subprocess
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from mintmast.decisions.gateways.records import Kept, Kind, Recovered, Write, Written, next_life, recover
+from mintmast.loop.base import Close, Handler, Stream
+from mintmast.loop.real import SelectorLoop
+from mintmast.store.engine import StoreError
+from mintmast.store.writer import Frames, framed
+
+# s that opening may take: a recovery of a million records, on a slow disk
+OPEN_TIME = 60.0
+# µs after which a writer that ended is started again
+AGAIN = 1_000_000
+# records that may wait to be written; beyond, writes are told as not good: a disk that stands for seconds
+MOST_WAITING = 20_000
+
+
+@dataclass(slots=True)
+class Opened:
+    """A store whose writer runs: what it kept, and the start that it was told to write."""
+
+    path: str
+    gateway: str
+    sock: socket.socket
+    process: subprocess.Popen
+    kept: Recovered
+    start: int
+    moved: str = ""
+
+
+def _spawn(path: str, gateway: str) -> tuple[socket.socket, subprocess.Popen]:
+    ours, theirs = socket.socketpair()
+    command = [sys.executable, "-m", "mintmast.store.writer", str(theirs.fileno()), path, gateway]
+    with theirs:
+        process = subprocess.Popen(command, pass_fds=(theirs.fileno(),), stdin=subprocess.DEVNULL)
+    return ours, process
+
+
+def open_store(path: str, gateway: str, wall_ms: int) -> Opened:
+    """Open a store, read it, and write the number of this start. Raises StoreError."""
+    sock, process = _spawn(path, gateway)
+    sock.settimeout(OPEN_TIME)
+    frames, rows, moved = Frames(), [], ""
+    try:
+        for frame in _read(sock, frames):
+            told = msgspec.msgpack.decode(frame)
+            if isinstance(told, list):
+                rows += [Kept(*row) for row in told]
+            elif isinstance(told, str) and told.startswith("!"):
+                raise StoreError(told[1:])
+            else:
+                moved = told if isinstance(told, str) else ""
+                break
+        kept = recover(rows)
+        start = next_life(wall_ms, kept.life)
+        sock.sendall(framed([0, [[Kind.LIFE.value, "", msgspec.msgpack.encode(start)]]]))
+        _, good, why = msgspec.msgpack.decode(next(_read(sock, frames)))
+        if not good:
+            raise StoreError(why)
+    except (OSError, StopIteration, ValueError) as error:
+        process.kill()
+        process.wait()
+        raise StoreError(f"{path}: its writer does not answer: {error}") from None
+    except StoreError:
+        process.wait()
+        raise
+    return Opened(path, gateway, sock, process, kept, start, moved)
+
+
+def _read(sock: socket.socket, frames: Frames):  # noqa: ANN202 - an iterator of frames until the end
+    while data := sock.recv(1 << 16):
+        yield from frames.feed(data)
+
+
+class StoreLine(Handler):
+    """The line to the writer, which is started again when it ends. What was not told as good may be lost.
+
+    `failing` tells why writes fail, "" where they do not.
+    """
+
+    def __init__(self, loop: SelectorLoop, opened: Opened) -> None:
+        self._loop, self._opened = loop, opened
+        self.start, self.kept = opened.start, opened.kept
+        self._written: Callable[[Written], None] = lambda event: None
+        self._say: Callable[..., None] = lambda event, **fields: None
+        self._waiting: dict[int, None] = {}
+        self.failing = ""
+        self._closing = False
+        self._frames = Frames()
+        self._stream: Stream | None = loop.adopt(opened.sock, self)
+
+    def attach(self, written: Callable[[Written], None], say: Callable[..., None]) -> None:
+        """Tell who hears the end of writes, and who takes log lines."""
+        self._written, self._say = written, say
+        if self._opened.moved:
+            say("store_of_another", moved_to=self._opened.moved)
+
+    def write(self, command: Write) -> None:
+        """Make records durable."""
+        if self._stream is None or len(self._waiting) >= MOST_WAITING:
+            self._loop.call_soon(self._end, command.token, False)
+            return
+        if command.token:
+            self._waiting[command.token] = None
+        records = [[each.kind, each.key, each.value] for each in command.records]
+        self._stream.write(framed([command.token, records]))
+
+    def received(self, data: bytes) -> None:
+        """Take answers; at a new start of the writer its rows are known already."""
+        for frame in self._frames.feed(data):
+            told = msgspec.msgpack.decode(frame)
+            if isinstance(told, str) and told.startswith("!"):
+                self._fails(told[1:])
+            elif isinstance(told, list) and len(told) == 3 and isinstance(told[1], bool):
+                self._fails("" if told[1] else told[2])
+                self._waiting.pop(told[0], None)
+                self._end(told[0], told[1])
+
+    def _end(self, token: int, good: bool) -> None:
+        if token:
+            self._written(Written(token, good))
+
+    def _fails(self, why: str) -> None:
+        """Say once that writes fail, and once that they do no more."""
+        if bool(why) != bool(self.failing):
+            self._say("store_fails" if why else "store_writes_again", why=why)
+        self.failing = why
+
+    def closed(self, reason: Close) -> None:
+        """Take the writer's end: what waits may be lost, and another is started."""
+        self._stream, waiting = None, list(self._waiting)
+        self._waiting.clear()
+        self._opened.process.poll()
+        if self._closing:
+            return
+        self._fails("the process that writes has ended")
+        for token in waiting:
+            self._end(token, False)
+        self._loop.call_at(self._loop.now() + AGAIN, self._again)
+
+    def _again(self) -> None:
+        if not self._closing:
+            self._opened.sock, self._opened.process = _spawn(self._opened.path, self._opened.gateway)
+            self._frames = Frames()
+            self._stream = self._loop.adopt(self._opened.sock, self)
+
+    def close(self) -> None:
+        """Write what is left, and end."""
+        self._closing = True
+        if self._stream is not None:
+            self._stream.close()
--- /dev/null
+++ b/mintmast/store/writer.py
@@ -0,0 +1,107 @@
+"""The process that writes a gateway's records: `python -m mintmast.store.writer FD PATH GATEWAY`.
+
+The gateway's loop must never wait for a disk, and a flush may take seconds; so this process does. Frames on
+the socket FD: four bytes of length, then MessagePack. First all rows are told (`[rows...]`, then `true`, or a
+string that says why not); then come writes (`[token, [records]]`), all that lie there at once become one
+commit, and each is answered (`[token, good, why not]`).
+"""
+
+from __future__ import annotations
+
+import os
+import select
+import signal
+import socket
+import sys
+from collections.abc import Iterator
+from itertools import islice
+
+import msgspec
+
+from mintmast.decisions.gateways.records import Kept
+from mintmast.store.engine import Engine, StoreError
+
+# rows in one frame at the start: some 60 kB
+ROWS_AT_ONCE = 500
+# bytes of one frame; what is longer is no word of a gateway's
+MOST_FRAME = 1 << 24
+
+
+class Batch(msgspec.Struct, array_like=True):
+    """One write."""
+
+    token: int
+    records: list[tuple[str, str, bytes | None]]
+
+
+def framed(what: object) -> bytes:
+    """Give a frame."""
+    data = msgspec.msgpack.encode(what)
+    return len(data).to_bytes(4) + data
+
+
+class Frames:
+    """Cuts a stream into frames. Raises ValueError for one that is too long."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """Take bytes and give the frames that are whole."""
+        self._buffer += data
+        while len(self._buffer) >= 4:
+            length = int.from_bytes(self._buffer[:4])
+            if length > MOST_FRAME:
+                raise ValueError(f"a frame of {length} bytes")
+            if len(self._buffer) < 4 + length:
+                return
+            frame = bytes(self._buffer[4 : 4 + length])
+            del self._buffer[: 4 + length]
+            yield frame
+
+
+def _commit(engine: Engine, batches: list[Batch]) -> bytes:
+    """Write all in one commit, and give the answers."""
+    why = ""
+    try:
+        engine.write(Kept(*each) for batch in batches for each in batch.records)
+    except StoreError as error:
+        why = str(error)
+    return b"".join(framed([batch.token, not why, why]) for batch in batches)
+
+
+def main(fd: int, path: str, gateway: str) -> int:
+    """Open the file, tell what is in it, write until the gateway is gone."""
+    for each in (signal.SIGINT, signal.SIGTERM):  # the gateway ends first, and what it wrote is still written
+        signal.signal(each, signal.SIG_IGN)
+    sock = socket.socket(fileno=fd)
+    try:
+        engine = Engine(path, gateway)
+        all_rows = engine.rows()
+        while rows := list(islice(all_rows, ROWS_AT_ONCE)):
+            sock.sendall(framed([[row.kind, row.key, row.value] for row in rows]))
+        sock.sendall(framed(engine.moved or True))
+    except (StoreError, OSError) as error:
+        sock.sendall(framed(f"!{error}"))
+        return 2
+    frames = Frames()
+    while data := sock.recv(1 << 16):
+        batches = [msgspec.msgpack.decode(frame, type=Batch) for frame in frames.feed(data)]
+        while batches and select.select([sock], [], [], 0)[0] and len(batches) < 10_000:
+            more = sock.recv(1 << 16)
+            if not more:
+                break
+            batches += [msgspec.msgpack.decode(frame, type=Batch) for frame in frames.feed(more)]
+        if batches:
+            try:
+                sock.sendall(_commit(engine, batches))
+            except OSError:
+                break
+    engine.close()
+    return 0
+
+
+if __name__ == "__main__":
+    code = main(int(sys.argv[1]), sys.argv[2], sys.argv[3])
+    sys.stdout.flush()
+    os._exit(code)
--- a/mintmast/telemetry/metrics.py
+++ b/mintmast/telemetry/metrics.py
@@ -49,10 +49,17 @@
         self.votes = Gauge(
             "mintmast_witness_votes", "1 where it votes on all paid keys that it can", registry=self.registry
         )
+        self.store_failing = Gauge(
+            "mintmast_store_failing", "1 where records cannot be written", registry=self.registry
+        )
         self.waits_for = Gauge(
             "mintmast_witness_waits_for", "gateways whose word it waits for to vote", registry=self.registry
         )
 
+    def store(self, failing: str) -> None:
+        """Take whether records can be written."""
+        self.store_failing.set(bool(failing))
+
     def roster(self, told: dict[str, Any], states: list[str]) -> None:
         """Take what the gateway believes of the others."""
         stands = [each["stands"] for each in told["members"].values()]
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -8,10 +8,11 @@
 
 from mintmast.decisions import messages as msg
 from mintmast.decisions.gateways import talk, witness
-from mintmast.decisions.gateways.claims import CLAIM_TIME, Claims, Stage, Tally, stage_of, together
+from mintmast.decisions.gateways.claims import Claims, Stage, Tally, stage_of, together
 from mintmast.decisions.gateways.standing import Proof
 from mintmast.decisions.gateways.talk import Vote
 from mintmast.decisions.gateways.witness import Record, learn, release, vote
+from mintmast.decisions.gateways.witnessing import CLAIM_TIME
 from mintmast.http.client import HttpClient
 from mintmast.lab import drills
 
@@ -207,7 +208,7 @@
 
         part = Claims(name, life, self.names, out.append, decided)
         self.parts[name] = part, out
-        part.begin_learning(self.now)
+        part.part.begin_learning(self.now)
         self.carry(name)
         for other in self.parts:
             if other != name:
@@ -238,7 +239,7 @@
         apart = {name, about} & self.lost and proof is not Proof.CONFIRMED
         if name != about and name not in self.cut and so.get(proof, about not in self.cut) and not apart:
             start = self.lives[about] if about not in self.cut else 0
-            self.parts[name][0].stands(self.now, talk.PeerStands(about, proof, start))
+            self.parts[name][0].part.stands(self.now, talk.PeerStands(about, proof, start))
             self.carry(name)
 
     def later(self, wait, do, *args):
@@ -257,7 +258,7 @@
     def wake(self, name, life, token):
         if self.lives[name] == life and name not in self.cut:
             part = self.parts[name][0]
-            part.learn(self.now) if token == ("learn",) else part.again(self.now, token[1])
+            part.part.learn(self.now) if token == ("learn",) else part.again(self.now, token[1])
             self.carry(name)
 
     def send(self, name, command):
@@ -283,7 +284,7 @@
             taken = isinstance(command, talk.SendRelease)
             keep = getattr(command, "keep", 0)
             call = talk.PeerCall(0, owner, command.digest, command.number, keep, taken)
-        part.called(self.now, call)
+        part.part.called(self.now, call)
         reply = next(each for each in out if isinstance(each, talk.PeerReply))
         out.remove(reply)
         self.carry(peer)
@@ -299,7 +300,7 @@
     def answer(self, name, life, event):
         if self.lives[name] == life and name not in self.cut and not {name, event.peer} & self.lost:
             part = self.parts[name][0]
-            take = {talk.Voted: part.voted, talk.Learnt: part.learnt, talk.AsideTold: part.asided}
+            take = {talk.Voted: part.voted, talk.Learnt: part.part.learnt, talk.AsideTold: part.part.asided}
             take[type(event)](self.now, event)
             self.carry(name)
 
@@ -316,7 +317,9 @@
     def settle(self, most=20):
         """Let it run until all that run vote; tell whether they do."""
         for _ in range(most):
-            if all(self.parts[each][0].voting for each in self.names if each not in self.cut | self.lost):
+            if all(
+                self.parts[each][0].part.voting for each in self.names if each not in self.cut | self.lost
+            ):
                 return True
             self.run(self.now + SECOND)
         return False
@@ -387,7 +390,7 @@
                 region.run(region.now + SECOND)
                 region.start(name)
                 assert region.settle(), seed
-                known = region.parts[name][0].witness._records.get(digest)
+                known = region.parts[name][0].part.witness._records.get(digest)
                 assert "key" not in region.owners or (known and known.owner), seed
                 region.run(region.now + 4 * SECOND)
         region.find_machine(lost)
@@ -402,12 +405,12 @@
 
 def test_one_of_the_version_before_tells_what_it_knows_and_vouches_for_nothing():
     region = Region(1, ("g0", "g1", "g2"), lose=0.0)
-    part = region.parts["g0"][0].covers
+    part = region.parts["g0"][0].part.covers
     part.begun = True
     part.go_on(region.now)
     for number, peer in enumerate(("g1", "g2"), 1):
         assert not part.ready(("g1", "g2"))
-        part.learnt(region.now, talk.Learnt(peer, number=number, covered=("g2",)))
+        part.part.learnt(region.now, talk.Learnt(peer, number=number, covered=("g2",)))
     assert part.ready(("g1", "g2")) and part.tell("g1")[1] == ()
 
 
@@ -415,11 +418,11 @@
     region = Region(1, ("g0", "g1", "g2"), lose=0.0)
     assert region.settle()
     part, out = region.parts["g0"]
-    part.condemn(region.now, talk.Condemned("a later process has this gateway's name"))
+    part.part.condemn(region.now, talk.Condemned("a later process has this gateway's name"))
     part.begin(region.now, 1, "key", 0, region.now + SECOND)
-    assert region.said[-1][3].startswith("a later process") and not part.voting
+    assert region.said[-1][3].startswith("a later process") and not part.part.voting
     digest = witness.digest_of("other")
-    part.called(region.now, talk.PeerCall(0, "g1/9", digest, 1, SECOND))
+    part.part.called(region.now, talk.PeerCall(0, "g1/9", digest, 1, SECOND))
     assert out[-1].vote is Vote.NONE
 
 
@@ -504,7 +507,7 @@
     assert ask_peer(small, {**good, "digest": "x" * 40_000}).status == 413
     assert ask_peer(small, good, path="/").status == 404
     assert ask_peer(small, {**good, "owner": "gw2/9", "number": 7}).status == 200
-    record = small.stage.gateways[0].core.book.claims.witness._records["d"]
+    record = small.stage.gateways[0].core.book.claims.part.witness._records["d"]
     assert (record.owner, record.number) == ("gw1/9", 1)
 
 
--- a/tests/test_covers.py
+++ b/tests/test_covers.py
@@ -103,7 +103,7 @@
         self.covers.learnt(0, event)
 
     def asided(self, peer, booked):
-        self.covers.asided(AsideTold(peer, booked))
+        self.covers.asided(0, AsideTold(peer, booked))
 
     def about(self):
         """Give what the world sees of it: votes on the key, has begun, waits for answers; words sent."""
