A process whose name another has tells nobody what it knows; whole means those out of reach too

Records were marked whole with two gateways out of reach whose keys were not accounted for; a process that runs on beside its successor answered those who learn, with the older memory of the two; after old records were found, an earlier timer could end the wait for claims under way.

Change: whole is strict, a condemned process answers 503, votes of a start that is over do not count, the wait stands.

--- a/mintmast/decisions/gateways/claims.py
+++ b/mintmast/decisions/gateways/claims.py
@@ -182,7 +182,9 @@
         if claim is None or claim.number != event.number or claim.stage is not Stage.ASKING:
             return
         late = now - claim.asked_at > CLAIM_TIME  # also when this process stood still
-        self._count(now, claim, event.peer, Vote.NONE if late else event.vote, event.without)
+        # one process of a name has come after another: what the first says now, the second does not know
+        over = 0 < event.start < self.part.covers.start_of(event.peer)
+        self._count(now, claim, event.peer, Vote.NONE if late or over else event.vote, event.without)
 
     def _count(
         self, now: int, claim: _Claim, witness: str, told: Vote, without: tuple[str, ...] = ()
--- a/mintmast/decisions/gateways/covers.py
+++ b/mintmast/decisions/gateways/covers.py
@@ -165,6 +165,11 @@
             self._voting = self.begun and told and next(self._waits(), None) is None
         return self._voting
 
+    @property
+    def whole(self) -> bool:
+        """Tell whether it knows all that its lives granted, on keys of those out of reach too."""
+        return self.begun and all(self._settled(name, other) for name, other in self.others.items())
+
     def waits_for(self) -> list[str]:
         """Name those without whose word there are keys that it does not vote on."""
         return list(self._waits())
@@ -184,9 +189,7 @@
 
     def _settled(self, name: str, other: _Other, out: set[str] | frozenset[str] = NOBODY) -> bool:
         """Tell whether it votes on all keys with this one, but for those whose witnesses are all out."""
-        if self._life is not None and not other.met:
-            return False
-        if self._all or other.told == NOBODY:
+        if self._life is None and (self._all or other.told == NOBODY):
             return self.begun
         if len(self.others) == 1:
             return self.ready((name,))
@@ -265,6 +268,10 @@
             other.sent_until = 0
             self._save(now, event.peer, names, lambda at, good: None)
 
+    def start_of(self, name: str) -> int:
+        """Give the last start of a gateway that is known; 0 for this one, or for none."""
+        return self.others[name].start if name in self.others else 0
+
     # What is told
 
     def tell(self, name: str) -> tuple[tuple[str, ...], tuple[str, ...]]:
--- a/mintmast/decisions/gateways/talk.py
+++ b/mintmast/decisions/gateways/talk.py
@@ -49,13 +49,15 @@
 class Voted(msgspec.Struct, frozen=True, gc=False):
     """A peer adapter: a witness's vote on the claim `number`, or that none came in time.
 
-    `without` names witnesses with whose votes this one does not count together.
+    `without` names witnesses with whose votes this one does not count together; `start` is the witness's, 0
+    where it is not told.
     """
 
     peer: str
     number: int
     vote: Vote
     without: tuple[str, ...] = ()
+    start: int = 0
 
 
 class Learnt(msgspec.Struct, frozen=True, gc=False):
@@ -141,7 +143,10 @@
 
 
 class PeerReply(msgspec.Struct, frozen=True, gc=False):
-    """To a peer adapter: answer a `PeerCall`; the fields as in `Voted`, `Learnt` and `AsideTold`."""
+    """To a peer adapter: answer a `PeerCall`; the fields as in `Voted`, `Learnt` and `AsideTold`.
+
+    Where it is not `good` the caller hears that there is no answer.
+    """
 
     call: int
     vote: Vote = Vote.NONE
@@ -152,3 +157,4 @@
     covered: tuple[str, ...] = ()
     version: int = -1
     before: int = 0
+    good: bool = True
--- a/mintmast/decisions/gateways/witnessing.py
+++ b/mintmast/decisions/gateways/witnessing.py
@@ -52,6 +52,7 @@
         self.condemned = ""
         self._marked = False  # the records are known to be whole on disk
         self._wakes_at = 0
+        self._not_before = 0  # µs; until then claims of a life that the records do not know may be under way
         self._said: tuple[bool, list[str]] | None = None
 
     @property
@@ -126,8 +127,10 @@
 
     def learn(self, now: int) -> None:
         """Take it that the time of a look has come: the first one after what was under way is over."""
-        self.covers.begun, self._wakes_at = True, 0
-        self._look(now)
+        self._wakes_at = 0
+        if now >= self._not_before:
+            self.covers.begun = True
+            self._look(now)
 
     def _look(self, now: int) -> None:
         """Ask and tell the others what is due. Danger: a question is lost, and never asked again."""
@@ -139,13 +142,14 @@
             self._marked = False
             self.keeper.keep(now, Kind.WHOLE, "", None)
             self._emit(Say("records_old", (("why", "another gateway knows of a later life than they do"),)))
-            self._emit(Wake(now + 2 * CLAIM_TIME, ("learn",)))
+            self._not_before = now + 2 * CLAIM_TIME
+            self._emit(Wake(self._not_before, ("learn",)))
             return
         if self.covers.go_on(now) and not self._wakes_at:
             self._wakes_at = now + LOOK_AGAIN
             self._emit(Wake(self._wakes_at, ("learn",)))
         told = self.covers.voting, self.covers.waits_for()
-        if told[0] and not told[1] and not self._marked:
+        if not self._marked and self.covers.whole:
             self._marked = True
             self.keeper.keep(now, Kind.WHOLE, "", self._start)
         if told != self._said:
@@ -174,16 +178,19 @@
             self._look(now)
 
     def condemn(self, now: int, event: Condemned) -> None:
-        """Take it that another process has this name, or that this one is held for dead: it owns nothing new.
+        """Take it that another process has this name, or that this one is held for dead.
 
-        Danger: two processes of one name are one witness with two memories.
+        Danger: two processes of one name are one witness with two memories. So this one neither votes nor
+        claims, and tells nobody what it knows: it would pass for what the other knows.
         """
         self.condemned = event.why
 
     def called(self, now: int, event: PeerCall) -> None:
         """Answer another gateway."""
         name, _, start = event.owner.partition("/")
-        if event.learn is not None or event.aside is not None:
+        if self.condemned and not event.release:
+            self._emit(PeerReply(event.call, good=False))
+        elif event.learn is not None or event.aside is not None:
             self._emit(self._told(now, event, name, start))
         elif event.release:
             self.release(now, event.digest, event.owner, event.number)
--- a/mintmast/peers/lines.py
+++ b/mintmast/peers/lines.py
@@ -111,7 +111,7 @@
 
         def done(answer: Answer | None) -> None:
             told = Answer() if answer is None else answer
-            self._events.heard(Voted(call.peer, call.number, Vote(told.vote), told.without))
+            self._events.heard(Voted(call.peer, call.number, Vote(told.vote), told.without, told.start))
 
         body = self._body(digest=call.digest, number=call.number, keep_ms=call.keep // 1000)
         self._call(call.peer, body, call.until, done)
@@ -220,6 +220,9 @@
             self._events.called(call, lambda told: self._respond(exchange, told, mac))
 
     def _respond(self, exchange: Exchange, told: PeerReply, mac: str) -> None:
+        if not told.good:
+            exchange.problem(503, "this process must not act under its name any more")
+            return
         records = tuple((digest, owner, number, keep // 1000) for digest, owner, number, keep in told.records)
         more = told.more, told.without, self._start, told.unready, told.covered, told.version, told.before
         data = msgspec.json.encode(Answer(told.vote.value, records, *more))
--- a/mintmast/store/line.py
+++ b/mintmast/store/line.py
@@ -14,7 +14,7 @@
 from mintmast.loop.base import Close, Handler, Stream
 from mintmast.loop.real import SelectorLoop
 from mintmast.store.engine import StoreError
-from mintmast.store.writer import Frames, framed
+from mintmast.store.frames import Frames, framed
 
 # s that opening may take: a recovery of a million records, on a slow disk
 OPEN_TIME = 60.0
--- a/mintmast/store/writer.py
+++ b/mintmast/store/writer.py
@@ -13,18 +13,16 @@
 import signal
 import socket
 import sys
-from collections.abc import Iterator
 from itertools import islice
 
 import msgspec
 
 from mintmast.decisions.gateways.records import Kept
 from mintmast.store.engine import Engine, StoreError
+from mintmast.store.frames import Frames, framed
 
 # rows in one frame at the start: some 60 kB
 ROWS_AT_ONCE = 500
-# bytes of one frame; what is longer is no word of a gateway's
-MOST_FRAME = 1 << 24
 
 
 class Batch(msgspec.Struct, array_like=True):
@@ -34,32 +32,6 @@
     records: list[tuple[str, str, bytes | None]]
 
 
-def framed(what: object) -> bytes:
-    """Give a frame."""
-    data = msgspec.msgpack.encode(what)
-    return len(data).to_bytes(4) + data
-
-
-class Frames:
-    """Cuts a stream into frames. Raises ValueError for one that is too long."""
-
-    def __init__(self) -> None:
-        self._buffer = bytearray()
-
-    def feed(self, data: bytes) -> Iterator[bytes]:
-        """Take bytes and give the frames that are whole."""
-        self._buffer += data
-        while len(self._buffer) >= 4:
-            length = int.from_bytes(self._buffer[:4])
-            if length > MOST_FRAME:
-                raise ValueError(f"a frame of {length} bytes")
-            if len(self._buffer) < 4 + length:
-                return
-            frame = bytes(self._buffer[4 : 4 + length])
-            del self._buffer[: 4 + length]
-            yield frame
-
-
 def _commit(engine: Engine, batches: list[Batch]) -> bytes:
     """Write all in one commit, and give the answers."""
     why = ""
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -398,7 +398,7 @@
         held = {
             name: sorted(each.held)
             for p, _ in region.parts.values()
-            for name, each in p.covers.others.items()
+            for name, each in p.part.covers.others.items()
         }
         assert not any(held.values()), held
 
@@ -410,7 +410,7 @@
     part.go_on(region.now)
     for number, peer in enumerate(("g1", "g2"), 1):
         assert not part.ready(("g1", "g2"))
-        part.part.learnt(region.now, talk.Learnt(peer, number=number, covered=("g2",)))
+        part.learnt(region.now, talk.Learnt(peer, number=number, covered=("g2",)))
     assert part.ready(("g1", "g2")) and part.tell("g1")[1] == ()
 
 
@@ -422,8 +422,41 @@
     part.begin(region.now, 1, "key", 0, region.now + SECOND)
     assert region.said[-1][3].startswith("a later process") and not part.part.voting
     digest = witness.digest_of("other")
-    part.part.called(region.now, talk.PeerCall(0, "g1/9", digest, 1, SECOND))
-    assert out[-1].vote is Vote.NONE
+    for call in (talk.PeerCall(0, "g1/9", digest, 1, SECOND), talk.PeerCall(0, "g1/9", learn="")):
+        part.part.called(region.now, call)
+        assert not out[-1].good and not out[-1].records
+
+
+def test_a_vote_of_a_start_that_is_over_does_not_count():
+    region = Region(1, ("g0", "g1", "g2"), lose=0.0)
+    assert region.settle()
+    part, out = region.parts["g0"]
+    region.cut |= {"g1", "g2"}
+    part.begin(region.now, 1, "key", 0, region.now + SECOND)
+    asked = [each for each in out if isinstance(each, talk.SendClaim)]
+    for each in asked:
+        start = region.lives[each.peer]
+        part.part.stands(region.now, talk.PeerStands(each.peer, Proof.HEARD, start + 5))
+        part.voted(region.now, talk.Voted(each.peer, each.number, Vote.GRANTED, (), start))
+    assert asked and not any(why == "" for *_, why in region.said)
+
+
+def test_records_are_called_whole_only_where_those_out_of_reach_are_accounted_for_too():
+    region = Region(1, ("g0", "g1", "g2", "g3", "g4"), lose=0.0)
+    assert region.settle()
+    for name in ("g3", "g4"):
+        region.lose_machine(name)
+        region.run(region.now + SECOND // 10)
+    region.die("g0")
+    region.run(region.now + SECOND)
+    region.start("g0")
+    region.run(region.now + 4 * SECOND)
+    covers = region.parts["g0"][0].part.covers
+    assert not covers.ready(("g3", "g4")) and not covers.whole
+    for name in ("g3", "g4"):
+        region.find_machine(name)
+    region.run(region.now + 4 * SECOND)
+    assert covers.whole and region.parts["g1"][0].part.covers.whole
 
 
 def test_votes_that_exclude_each_other_are_not_counted_together():
--- a/tests/test_covers.py
+++ b/tests/test_covers.py
@@ -288,7 +288,7 @@
     made.__dict__.update(covers.__dict__)
     monkeypatch.setitem(sys.modules, "mutant", made)
     exec(compile(source.replace(old, new), "mutant", "exec"), made.__dict__)
-    for each in ("Covers", "_Other", "_Cover", "_Read"):
+    for each in ("Covers", "_Other", "_Cover", "_Read", "_at_once"):
         getattr(made, each).__module__ = "mutant"
     made.ASK_AGAIN = 1
     monkeypatch.setitem(globals(), "Covers", made.Covers)
