--- a/mintmast/store/frames.py
+++ b/mintmast/store/frames.py
@@ -1,4 +1,4 @@
-"""Frames between a gateway and the process that writes its records: four bytes of length, then MessagePack."""
+"""Frames between a gateway and the process that writes its records: a length in four bytes, MessagePack."""
 
 from __future__ import annotations
 
