--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -269,6 +269,12 @@
     answers(old, out, before=60)
     assert not old.voting and any(getattr(each, "event", "") == "records_old" for each in out)
     assert Kept("whole", "", None) in rows_of(out)
+    old.learn(
+        SECOND // 4
+    )  # a look that was due before: claims of the life that is not known may be under way
+    assert not old.covers.begun
+    old.learn(SECOND // 2)
+    assert old.covers.begun
     old.called(0, talk.PeerCall(3, "g2/5", "other", 1, 3600 * SECOND))
     assert next(each for each in out if isinstance(each, talk.PeerReply)).vote is Vote.NONE
 
