The store's line is bounded by what has no answer; a start waits for the last flush of the one before

Writes that nobody waits for were not counted, so a disk that stands would have overrun the line's bytes and cost its connection; a start right after a death found the file still locked by a writer that was flushing.

Change: all writes without an answer are counted, the line's bytes bear so many; opening waits up to 3 s for the lock.

--- a/mintmast/store/engine.py
+++ b/mintmast/store/engine.py
@@ -32,11 +32,12 @@
 class Engine:
     """One gateway's file. Raises StoreError where it cannot be had, is another program's, or is newer.
 
-    A file of another gateway is moved aside, and a new one begun; `moved` tells where to.
+    `wait` is how long (s) another process may still have it. A file of another gateway is moved aside, and a
+    new one begun; `moved` tells where to.
     """
 
-    def __init__(self, path: str, gateway: str, read_only: bool = False) -> None:
-        self.path, self.moved, self.doubtful = path, "", 0
+    def __init__(self, path: str, gateway: str, read_only: bool = False, wait: float = 0.5) -> None:
+        self.path, self.moved, self.doubtful, self._wait = path, "", 0, wait
         self._db: Any = None
         try:
             self._open(read_only)
@@ -61,9 +62,8 @@
         path = Path(self.path).resolve()
         if read_only and not path.exists():
             raise StoreError(f"{self.path}: there is no such file")
-        # a moment of waiting: the process before may be ending just now
         uri = f"{path.as_uri()}?mode={'ro' if read_only else 'rwc'}"
-        self._db = sqlite3.connect(uri, timeout=1.0, uri=True)
+        self._db = sqlite3.connect(uri, timeout=self._wait, uri=True)
         (mark,) = self._db.execute("PRAGMA application_id").fetchone()
         (version,) = self._db.execute("PRAGMA user_version").fetchone()
         (tables,) = self._db.execute("SELECT count(*) FROM sqlite_master").fetchone()
--- a/mintmast/store/line.py
+++ b/mintmast/store/line.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from mintmast.decisions.gateways.records import Kept, Kind, Recovered, Write, Written, next_life, recover
-from mintmast.loop.base import Close, Handler, Stream
+from mintmast.loop.base import Close, Handler, Limits, Stream
 from mintmast.loop.real import SelectorLoop
 from mintmast.store.engine import StoreError
 from mintmast.store.frames import Frames, framed
@@ -20,8 +20,10 @@
 OPEN_TIME = 60.0
 # µs after which a writer that ended is started again
 AGAIN = 1_000_000
-# records that may wait to be written; beyond, writes are told as not good: a disk that stands for seconds
+# writes that may be without an answer; beyond, they are told as not good: a disk that stands for seconds
 MOST_WAITING = 20_000
+# bytes: so many writes of the longest records
+LIMITS = Limits(unsent=1 << 25)
 
 
 @dataclass(slots=True)
@@ -93,10 +95,11 @@
         self._written: Callable[[Written], None] = lambda event: None
         self._say: Callable[..., None] = lambda event, **fields: None
         self._waiting: dict[int, None] = {}
+        self._unanswered = 0
         self.failing = ""
         self._closing = False
         self._frames = Frames()
-        self._stream: Stream | None = loop.adopt(opened.sock, self)
+        self._stream: Stream | None = loop.adopt(opened.sock, self, LIMITS)
 
     def attach(self, written: Callable[[Written], None], say: Callable[..., None]) -> None:
         """Tell who hears the end of writes, and who takes log lines."""
@@ -106,9 +109,10 @@
 
     def write(self, command: Write) -> None:
         """Make records durable."""
-        if self._stream is None or len(self._waiting) >= MOST_WAITING:
+        if self._stream is None or self._unanswered >= MOST_WAITING:
             self._loop.call_soon(self._end, command.token, False)
             return
+        self._unanswered += 1
         if command.token:
             self._waiting[command.token] = None
         records = [[each.kind, each.key, each.value] for each in command.records]
@@ -122,6 +126,7 @@
                 self._fails(told[1:])
             elif isinstance(told, list) and len(told) == 3 and isinstance(told[1], bool):
                 self._fails("" if told[1] else told[2])
+                self._unanswered -= 1
                 self._waiting.pop(told[0], None)
                 self._end(told[0], told[1])
 
@@ -139,6 +144,7 @@
         """Take the writer's end: what waits may be lost, and another is started."""
         self._stream, waiting = None, list(self._waiting)
         self._waiting.clear()
+        self._unanswered = 0
         self._opened.process.poll()
         if self._closing:
             return
@@ -151,7 +157,7 @@
         if not self._closing:
             self._opened.sock, self._opened.process = _spawn(self._opened.path, self._opened.gateway)
             self._frames = Frames()
-            self._stream = self._loop.adopt(self._opened.sock, self)
+            self._stream = self._loop.adopt(self._opened.sock, self, LIMITS)
 
     def close(self) -> None:
         """Write what is left, and end."""
--- a/mintmast/store/writer.py
+++ b/mintmast/store/writer.py
@@ -21,6 +21,8 @@
 from mintmast.store.engine import Engine, StoreError
 from mintmast.store.frames import Frames, framed
 
+# s for which the writer of the process before may still flush: a slow disk's, that of a killed gateway
+LAST_FLUSH = 3.0
 # rows in one frame at the start: some 60 kB
 ROWS_AT_ONCE = 500
 
@@ -48,7 +50,7 @@
         signal.signal(each, signal.SIG_IGN)
     sock = socket.socket(fileno=fd)
     try:
-        engine = Engine(path, gateway)
+        engine = Engine(path, gateway, wait=LAST_FLUSH)
         all_rows = engine.rows()
         while rows := list(islice(all_rows, ROWS_AT_ONCE)):
             sock.sendall(framed([[row.kind, row.key, row.value] for row in rows]))
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -203,8 +203,12 @@
     line.write(Write((kept("c"),), 3))
     until(lambda: ends[2:] == [Written(3, False)])
     until(lambda: line._stream is not None)
+    line._unanswered = 10**6  # a disk that stands for seconds
+    line.write(Write((kept("e"),), 5))
+    until(lambda: ends[3:] == [Written(5, False)])
+    line._unanswered = 0
     line.write(Write((kept("d"),), 4))
-    until(lambda: ends[3:] == [Written(4, True)])
+    until(lambda: ends[4:] == [Written(4, True)])
     assert said[-1] == "store_writes_again" and not line.failing
     line.close()
     until(lambda: line._opened.process.poll() is not None)
