Read again: one restart in drills, one form of a record, one parser of addresses, two counters less

Cause: the change was read as a whole. Three drills killed a gateway and started it again each in its own lines, two of them with the same guard; two stores made the record of a start by hand; HOST:PORT was cut apart in three places; the wall clock's shift was added outside the loop that has it; whose word is waited for asked who is out once a gateway and look; claims read from the table what covers tell already; two counters were read by nobody.

Change: Stage.restart_gateway, roaming.kill_if_all_vote and faulty; records.kept; peers.address_of; the store opens by the loop's clock; covers asks once; the gateway's JSON answers go one way. Behaviour is as before.

--- a/mintmast/decisions/gateways/claims.py
+++ b/mintmast/decisions/gateways/claims.py
@@ -151,7 +151,7 @@
         claim.votes, claim.granted = dict.fromkeys(witnesses), {}
         self._by_number[claim.number] = claim
         others = sorted((each for each in witnesses if each != self._gateway), key=self._first)
-        first = [each for each in others if self._relied_on(each)]
+        first = [each for each in others if not self.part.covers.others[each].out]
         enough = len(first) + (self._gateway in witnesses) > len(witnesses) // 2
         if not enough or claim.tries > 1:
             first = others
@@ -168,9 +168,6 @@
     def _first(self, name: str) -> bool:
         return not CONCLUSIONS[self.part.covers.others[name].proof].asked_first
 
-    def _relied_on(self, name: str) -> bool:
-        return CONCLUSIONS[self.part.covers.others[name].proof].relied_on
-
     def _send(self, now: int, claim: _Claim, witnesses: list[str]) -> None:
         for each in witnesses:
             until = max(now, claim.asked_at + CLAIM_TIME)
--- a/mintmast/decisions/gateways/covers.py
+++ b/mintmast/decisions/gateways/covers.py
@@ -183,8 +183,9 @@
         return {"waits_for": self.waits_for(), "held_aside": held, "covers": here}
 
     def _waits(self) -> Iterator[str]:
+        out = {name for name, other in self.others.items() if other.out}
         for name, other in self.others.items():
-            if not self._settled(name, other, {each for each in self.others if self.others[each].out}):
+            if not self._settled(name, other, out):
                 yield name
 
     def _settled(self, name: str, other: _Other, out: set[str] | frozenset[str] = NOBODY) -> bool:
--- a/mintmast/decisions/gateways/records.py
+++ b/mintmast/decisions/gateways/records.py
@@ -68,6 +68,11 @@
     value: bytes | None
 
 
+def kept(kind: Kind, key: str, value: object) -> Kept:
+    """Give a record as it is stored; `value` None takes it out."""
+    return Kept(kind.value, key, None if value is None else msgspec.msgpack.encode(value))
+
+
 class Write(msgspec.Struct, frozen=True, gc=False):
     """To the store: make these durable; with a `token`, `Written(token)` tells the end."""
 
@@ -172,10 +177,10 @@
             if then is not None:
                 then(now, True)
             return
-        records = [Kept(kind.value, key, None if value is None else msgspec.msgpack.encode(value))]
+        records = [kept(kind, key, value)]
         if self.ran(now) - self._told >= CLOCK_EVERY:
             self._told = self.ran(now)
-            records.append(Kept(Kind.CLOCK.value, "", msgspec.msgpack.encode(self._told)))
+            records.append(kept(Kind.CLOCK, "", self._told))
         token = 0
         if then is not None:
             self._count += 1
--- a/mintmast/gateway.py
+++ b/mintmast/gateway.py
@@ -21,7 +21,7 @@
 from mintmast.http.client import ClientLimits
 from mintmast.http.server import Exchange, HttpServer
 from mintmast.loop import Loop
-from mintmast.peers import PeerLines, Roster
+from mintmast.peers import PeerLines, Roster, address_of
 from mintmast.sources.eureka import Registration
 from mintmast.sources.fixed import FixedList, SavedList
 from mintmast.sources.merged import MergedList
@@ -55,6 +55,10 @@
     name: str
 
 
+def _tell(exchange: Exchange, told: dict[str, Any]) -> None:
+    exchange.respond(200, [("Content-Type", "application/json")], msgspec.json.encode(told))
+
+
 class Gateway:
     """One gateway on a loop. `say(event, **fields)` takes log lines; `table` is for drills that mutate it.
 
@@ -140,15 +144,11 @@
 
     def _meet(self, told: dict[str, Any], start: int, seed: int) -> None:
         """Open the ways to the other gateways."""
-        members = {}
-        for each in told["members"]:
-            host, _, port = each["address"].rpartition(":")
-            members[each["name"]] = host, int(port)
+        members = {each["name"]: address_of(each["address"]) for each in told["members"]}
         name = self.config["gateway"]
         place = told.get("advertise", "")
         if place:
-            host, _, port = place.rpartition(":")
-            members[name] = host, int(port)
+            members[name] = address_of(place)
         listen = told.get("listen", {}).get("host", members[name][0]), members[name][1]
         secrets = told["secrets"]
         peers = PeerLines(self.loop, name, start, members, secrets, told["skew_s"], self.core, listen)
@@ -186,13 +186,13 @@
         if wanted is None or not hmac.compare_digest(shown.encode(), wanted.encode()):
             exchange.problem(401, "the operators' token is needed")
         elif exchange.path == "/v1/moves" and exchange.method == "GET":
-            exchange.respond(200, [("Content-Type", "application/json")], msgspec.json.encode(self.moves()))
+            _tell(exchange, self.moves())
         elif exchange.path == "/v1/sources" and exchange.method == "GET":
             told = self.list.state() if isinstance(self.list, MergedList) else {}
-            exchange.respond(200, [("Content-Type", "application/json")], msgspec.json.encode(told))
+            _tell(exchange, told)
         elif exchange.path == "/v1/members" and exchange.method == "GET":
             told = self.members()
-            exchange.respond(200, [("Content-Type", "application/json")], msgspec.json.encode(told))
+            _tell(exchange, told)
         elif exchange.path == "/v1/members/forget" and exchange.method == "POST":
             self._forget(exchange)
         elif exchange.path == "/v1/drains" and exchange.method == "POST":
@@ -211,7 +211,7 @@
         if self.roster is None or not self.roster.forget(order.name):
             exchange.problem(404, f"{order.name} is no other gateway of this region")
             return
-        exchange.respond(200, [("Content-Type", "application/json")], msgspec.json.encode(self.members()))
+        _tell(exchange, self.members())
 
     def members(self) -> dict[str, Any]:
         """Tell what is believed of the other gateways, and what this one does as a witness of paid keys."""
@@ -229,7 +229,7 @@
         if not self.core.order_drain(order.host.encode(), order.on, within):
             exchange.problem(404, f"{order.host} is on no list")
             return
-        exchange.respond(200, [("Content-Type", "application/json")], msgspec.json.encode(self.moves()))
+        _tell(exchange, self.moves())
 
     def moves(self) -> dict[str, Any]:
         """Tell what drains, what is under way and what holds each drain."""
--- a/mintmast/lab/disk.py
+++ b/mintmast/lab/disk.py
@@ -5,14 +5,13 @@
 import random
 from collections.abc import Callable
 
-import msgspec
-
 from mintmast.decisions.gateways.records import (
     Kept,
     Kind,
     Recovered,
     Write,
     Written,
+    kept,
     next_life,
     recover,
 )
@@ -28,7 +27,6 @@
     def __init__(self, seed: str) -> None:
         self.rows: dict[tuple[str, str], Kept] = {}
         self.random = random.Random(seed)
-        self.kept_unflushed = 0
 
     def put(self, records: tuple[Kept, ...]) -> None:
         """Make these durable."""
@@ -51,7 +49,7 @@
         self._world, self._node, self._disk = world, node, disk
         self.kept: Recovered = recover(disk.rows.values())
         self.start = next_life(wall_ms, self.kept.life)
-        disk.put((Kept(Kind.LIFE.value, "", msgspec.msgpack.encode(self.start)),))
+        disk.put((kept(Kind.LIFE, "", self.start),))
         self._written: Callable[[Written], None] = lambda event: None
         self._last = 0
 
@@ -71,9 +69,7 @@
             if command.token:
                 self._node.do(self._written, Written(command.token, True))
             return
-        part = tuple(each for each in command.records if self._disk.random.random() < 0.5)
-        self._disk.kept_unflushed += len(part)
-        self._disk.put(part)
+        self._disk.put(tuple(each for each in command.records if self._disk.random.random() < 0.5))
 
     def close(self) -> None:
         """Nothing: what was written is flushed in its time."""
--- a/mintmast/lab/drills/kill.py
+++ b/mintmast/lab/drills/kill.py
@@ -10,13 +10,12 @@
 from typing import Any
 
 from mintmast.lab.drills.day import Day, Drill
-from mintmast.lab.drills.roaming import Roamers
+from mintmast.lab.drills.roaming import Roamers, faulty
 
 
 def _down(stage: Any, gateways: list[int], back: list[float]) -> None:
     for number, wait in zip(gateways, back, strict=True):
-        stage.kill_gateway(number)
-        stage.loop.call_at(stage.now() + int(wait * 1e6), stage.start_gateway, number)
+        stage.restart_gateway(number, wait)
 
 
 def kill(most: int, stage: Any, day: Day, seed: int) -> None:
@@ -33,9 +32,8 @@
     lossy = draw.sample(range(day.hosts), 3)
     begin = draw.uniform(0.5, day.load_s / 2)
     for number in lossy:
-        for when, part in ((begin, 0.3), (begin + 5, 0.0)):
-            stage.at(when, partial(setattr, stage.hosts[number], "lose_answers", part))
-            stage.at(when, partial(setattr, stage.hosts[number], "cut_answers", part))
+        stage.at(begin, faulty, stage, number, 0.3)
+        stage.at(begin + 5, faulty, stage, number, 0.0)
 
 
 def _slow(stage: Any, day: Day) -> None:
--- a/mintmast/lab/drills/members.py
+++ b/mintmast/lab/drills/members.py
@@ -9,10 +9,11 @@
 import random
 from collections.abc import Callable
 from functools import partial
+from itertools import permutations
 from typing import Any
 
 from mintmast.lab.drills.day import Day, Drill
-from mintmast.lab.drills.roaming import Roamers
+from mintmast.lab.drills.roaming import Roamers, kill_if_all_vote
 from mintmast.lab.drills.viewers import Viewers
 
 Case = Callable[[Any, Day, random.Random, float], float]
@@ -29,7 +30,7 @@
 
 
 def _all(day: Day) -> list[tuple[int, int]]:
-    return [(a, b) for a in range(day.gateways) for b in range(day.gateways) if a != b]
+    return list(permutations(range(day.gateways), 2))
 
 
 def _two(day: Day, draw: random.Random) -> tuple[int, int]:
@@ -137,14 +138,15 @@
 def killed(stage: Any, day: Day, draw: random.Random, at: float) -> float:
     """Kill one process; it comes back with its files or without."""
     one, back = draw.randrange(day.gateways), draw.uniform(0.2, 2.0)
-    stage.at(at, _kill, stage, day, one, back, {"files": draw.random() < 0.5})
+    files = draw.random() < 0.5
+    stage.at(at, partial(kill_if_all_vote, stage, day, one, back, files=files))
     return at + back + START
 
 
 def clock(stage: Any, day: Day, draw: random.Random, at: float) -> float:
     """Start one anew with its clock ten minutes ahead."""
     one = draw.randrange(day.gateways)
-    stage.at(at, _kill, stage, day, one, 0.5, {"wall_shift": 600.0})
+    stage.at(at, partial(kill_if_all_vote, stage, day, one, 0.5, wall_shift=600.0))
     return at + 0.5 + START
 
 
@@ -152,8 +154,8 @@
     """Take a machine away, start two others anew one after the other, and bring it back."""
     lost, one, other = draw.sample(range(day.gateways), 3)
     stage.at(at, stage.vanish_gateway, lost)
-    stage.at(at + 5.0, _kill, stage, day, one, 0.5, {}, lost)
-    stage.at(at + 6.0 + START, _kill, stage, day, other, 0.5, {}, lost)
+    stage.at(at + 5.0, kill_if_all_vote, stage, day, one, 0.5, lost)
+    stage.at(at + 6.0 + START, kill_if_all_vote, stage, day, other, 0.5, lost)
     stage.at(at + 8.0 + 2 * START, stage.start_gateway, lost)
     return at + 8.0 + 3 * START
 
@@ -172,10 +174,10 @@
     stage.at(at, lambda: setattr(stage, "secrets", stage.secrets[::-1]))
     end = at + 0.5
     for number in [each for each in range(day.gateways) if each != one]:
-        stage.at(end, _kill, stage, day, number, 0.3, {}, one)
+        stage.at(end, kill_if_all_vote, stage, day, number, 0.3, one)
         end += 0.5 + START
     _ways(stage, at, end, pairs, cut=True)
-    stage.at(end, _kill, stage, day, one, 0.3, {})
+    stage.at(end, kill_if_all_vote, stage, day, one, 0.3)
     return end + START
 
 
@@ -194,16 +196,6 @@
     return end + START
 
 
-def _kill(
-    stage: Any, day: Day, gateway: int, back: float, more: dict[str, Any], lost: int | None = None
-) -> None:
-    """Kill a gateway and start it again, if all that are there vote: one death at a time."""
-    if all(stage.votes(number) for number in range(day.gateways) if number != lost):
-        stage.kill_gateway(gateway)
-        again = partial(stage.start_gateway, gateway, **more)
-        stage.loop.call_at(stage.now() + int(back * 1e6), again)
-
-
 CASES: dict[str, Case] = {
     "one-way": one_way, "unheard": unheard, "half": half, "split": split, "flapping": flapping,
     "losses": losses, "doubles": doubles, "swallows": swallows, "resets": resets, "shorts": shorts,
--- a/mintmast/lab/drills/roaming.py
+++ b/mintmast/lab/drills/roaming.py
@@ -81,27 +81,30 @@
     while at < day.load_s:
         gateway = draw.choice([n for n in range(day.gateways) if n != last])
         last, back = gateway, draw.uniform(0.2, 2.0)
-        stage.at(at, _kill, stage, day, gateway, back)
+        stage.at(at, kill_if_all_vote, stage, day, gateway, back)
         at += back + draw.uniform(2.5, 4.0)
     for _ in range(day.sets):
         lossy = draw.sample(range(day.hosts), 3)
         begin = draw.uniform(0.5, day.load_s / 2)
         for number in lossy:
-            stage.at(begin, _faulty, stage, number, 0.3)
-            stage.at(begin + 5, _faulty, stage, number, 0.0)
+            stage.at(begin, faulty, stage, number, 0.3)
+            stage.at(begin + 5, faulty, stage, number, 0.0)
         slow = draw.randrange(day.hosts)
         stage.at(begin, partial(setattr, stage.hosts[slow], "slow", draw.choice([100_000, 600_000])))
         stage.at(begin + 4, partial(setattr, stage.hosts[slow], "slow", 0))
 
 
-def _kill(stage: Any, day: Day, gateway: int, back: float) -> None:
+def kill_if_all_vote(
+    stage: Any, day: Day, gateway: int, back: float, lost: int | None = None, **more: Any
+) -> None:
     """Kill a gateway and start it again, if all vote: claims promise to live through one death at a time.
 
+    `lost` is one that is away and need not vote; `more` is for the start.
+
     A process may need seconds to start on a busy machine; operators wait for the same word.
     """
-    if all(stage.votes(number) for number in range(day.gateways)):
-        stage.kill_gateway(gateway)
-        stage.loop.call_at(stage.now() + int(back * 1e6), stage.start_gateway, gateway)
+    if all(stage.votes(number) for number in range(day.gateways) if number != lost):
+        stage.restart_gateway(gateway, back, **more)
 
 
 def _unheard(day: Day, stage: Any, gateway: int) -> None:
@@ -111,7 +114,8 @@
             stage.way(gateway, other, cut=True)
 
 
-def _faulty(stage: Any, number: int, part: float) -> None:
+def faulty(stage: Any, number: int, part: float) -> None:
+    """Let a host lose so much of its answers, and cut as much."""
     stage.hosts[number].lose_answers = stage.hosts[number].cut_answers = part
 
 
--- a/mintmast/lab/links.py
+++ b/mintmast/lab/links.py
@@ -11,6 +11,7 @@
 import random
 from collections import defaultdict
 from collections.abc import Callable
+from itertools import permutations
 from typing import Any
 
 from mintmast.loop import Loop
@@ -115,7 +116,7 @@
             )
 
     def _pairs(self) -> list[Pair]:
-        return [(a, b) for a in range(self.count) for b in range(self.count) if a != b]
+        return list(permutations(range(self.count), 2))
 
     def _port(self, pair: Pair) -> int:
         return self._port_of(f"link-{pair[0]}-{pair[1]}")
--- a/mintmast/lab/stage.py
+++ b/mintmast/lab/stage.py
@@ -8,6 +8,7 @@
 import sys
 import tempfile
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import jwt
@@ -112,6 +113,12 @@
         """Name the machine of a gateway: that of the settings, or where it has moved."""
         return self._moved.get(number, f"gw{number}")
 
+    def restart_gateway(self, number: int, back: float, **more: Any) -> None:
+        """Kill a gateway, and start it again after so many seconds; `more` is for the start."""
+        self.kill_gateway(number)
+        again = partial(self.start_gateway, number, **more)
+        self.loop.call_at(self.now() + int(back * 1e6), again)
+
     def move_gateway(self, number: int, overlap: float) -> None:
         """Start a gateway elsewhere, and kill the process before so many seconds later."""
         old = self.machine(number)
--- a/mintmast/peers/__init__.py
+++ b/mintmast/peers/__init__.py
@@ -1,6 +1,6 @@
 """What gateways of a region say to each other."""
 
 from mintmast.peers.lines import PeerLines
-from mintmast.peers.roster import Roster
+from mintmast.peers.roster import Roster, address_of
 
-__all__ = ["PeerLines", "Roster"]
+__all__ = ["PeerLines", "Roster", "address_of"]
--- a/mintmast/peers/roster.py
+++ b/mintmast/peers/roster.py
@@ -42,6 +42,14 @@
 MOST_BYTES = 1200
 
 
+def address_of(text: str) -> Address:
+    """Give host and port of HOST:PORT. Raises ValueError."""
+    host, _, port = text.rpartition(":")
+    if not (host and port.isascii() and port.isdigit() and 0 < int(port) < 65_536):
+        raise ValueError(f"{text[:100]!r} is not HOST:PORT")
+    return host, int(port)
+
+
 class Roster:
     """Carries one gateway's `Members`. `members` are all gateways with their addresses, `listen` its own.
 
@@ -100,12 +108,12 @@
 
     def _move(self, command: Moved) -> None:
         """Reach a gateway elsewhere; what is no address is counted, and the settings' one kept."""
-        host, _, port = command.place.rpartition(":")
         place = self._told[command.name]
-        if command.place and host and port.isascii() and port.isdigit() and 0 < int(port) < 65_536:
-            place = host, int(port)
-        elif command.place:
-            self.malformed += 1
+        if command.place:
+            try:
+                place = address_of(command.place)
+            except ValueError:
+                self.malformed += 1
         self._addresses[command.name] = place
         self._say("member_moved", name=command.name, to=f"{place[0]}:{place[1]}")
 
--- a/mintmast/process.py
+++ b/mintmast/process.py
@@ -4,7 +4,6 @@
 
 import signal
 import sys
-import time
 
 from mintmast.config import ConfigError, load
 from mintmast.fronts.tokens import TokenError
@@ -26,21 +25,20 @@
     except OSError as error:
         print(f"mintmast: telemetry/log: {error}", file=sys.stderr)
         return 2
-    store, kept = None, config.raw.get("store")
+    loop = SelectorLoop()
+    loop.wall_shift = config["testing"]["wall_shift_s"]
+    store = None
     try:
-        if kept is not None:
-            shift = config["testing"]["wall_shift_s"]
-            store = open_store(kept["path"], config["gateway"], int((time.time() + shift) * 1000))
+        if "store" in config.raw:
+            path = config["store"]["path"]
+            store = StoreLine(loop, open_store(path, config["gateway"], int(loop.wall() * 1000)))
     except StoreError as error:
         print(f"mintmast: store: {error}", file=sys.stderr)
         return 2
-    loop = SelectorLoop()
-    loop.wall_shift = config["testing"]["wall_shift_s"]
     say = line_writer(sink, loop.wall, gateway=config["gateway"])
     loop._on_error = lambda text: say("error", text=text)
     try:
-        line = None if store is None else StoreLine(loop, store)
-        gateway = Gateway(loop, config, None, say, table, line)
+        gateway = Gateway(loop, config, None, say, table, store)
     except (TokenError, OSError) as error:
         print(f"mintmast: {error}", file=sys.stderr)
         return 2
--- a/mintmast/store/engine.py
+++ b/mintmast/store/engine.py
@@ -37,7 +37,7 @@
     """
 
     def __init__(self, path: str, gateway: str, read_only: bool = False, wait: float = 0.5) -> None:
-        self.path, self.moved, self.doubtful, self._wait = path, "", 0, wait
+        self.path, self.moved, self._wait = path, "", wait
         self._db: Any = None
         try:
             self._open(read_only)
@@ -95,10 +95,9 @@
         return name
 
     def rows(self) -> Iterator[Kept]:
-        """Give all records; one whose checksum is wrong has no value, and is counted as doubtful."""
+        """Give all records; one whose checksum is wrong has no value."""
         for kind, key, value, told in self._db.execute("SELECT kind, key, value, sum FROM records"):
             good = isinstance(value, bytes) and _sum(str(kind), str(key), value) == told
-            self.doubtful += not good
             yield Kept(str(kind), str(key), value if good else None)
 
     def write(self, records: Iterable[Kept]) -> None:
--- a/mintmast/store/line.py
+++ b/mintmast/store/line.py
@@ -10,7 +10,16 @@
 
 import msgspec
 
-from mintmast.decisions.gateways.records import Kept, Kind, Recovered, Write, Written, next_life, recover
+from mintmast.decisions.gateways.records import (
+    Kept,
+    Kind,
+    Recovered,
+    Write,
+    Written,
+    kept,
+    next_life,
+    recover,
+)
 from mintmast.loop.base import Close, Handler, Limits, Stream
 from mintmast.loop.real import SelectorLoop
 from mintmast.store.engine import StoreError
@@ -62,9 +71,9 @@
             else:
                 moved = told if isinstance(told, str) else ""
                 break
-        kept = recover(rows)
-        start = next_life(wall_ms, kept.life)
-        sock.sendall(framed([0, [[Kind.LIFE.value, "", msgspec.msgpack.encode(start)]]]))
+        found = recover(rows)
+        start = next_life(wall_ms, found.life)
+        sock.sendall(framed(_batch(0, (kept(Kind.LIFE, "", start),))))
         _, good, why = msgspec.msgpack.decode(next(_read(sock, frames)))
         if not good:
             raise StoreError(why)
@@ -75,7 +84,7 @@
     except StoreError:
         process.wait()
         raise
-    return Opened(path, gateway, sock, process, kept, start, moved)
+    return Opened(path, gateway, sock, process, found, start, moved)
 
 
 def _read(sock: socket.socket, frames: Frames):  # noqa: ANN202 - an iterator of frames until the end
@@ -83,6 +92,10 @@
         yield from frames.feed(data)
 
 
+def _batch(token: int, records: tuple[Kept, ...]) -> list:
+    return [token, [[each.kind, each.key, each.value] for each in records]]
+
+
 class StoreLine(Handler):
     """The line to the writer, which is started again when it ends. What was not told as good may be lost.
 
@@ -115,8 +128,7 @@
         self._unanswered += 1
         if command.token:
             self._waiting[command.token] = None
-        records = [[each.kind, each.key, each.value] for each in command.records]
-        self._stream.write(framed([command.token, records]))
+        self._stream.write(framed(_batch(command.token, command.records)))
 
     def received(self, data: bytes) -> None:
         """Take answers; at a new start of the writer its rows are known already."""
