Ports of a drill on loopback are each given once, over TCP and UDP

Checked: LoopbackStage._port bound port 0, closed it and took the number, and the system may give the same number again: with the 34 names of a drill of five gateways, 8 of 200 trials had one number twice; two links then ask for one port. Ruled out: another process (the address is the drill's own) and TCP (datagrams were refused, no listener stood yet).

lab/ports.py keeps each number given and takes one only that is free for both TCP and UDP; the test of the links uses it too.

--- a/mintmast/lab/loopback.py
+++ b/mintmast/lab/loopback.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
 import signal
 import socket
 import subprocess
@@ -15,6 +14,7 @@
 from mintmast.http.client import ClientLimits, Fault, HttpClient, Reply
 from mintmast.lab.hostmodel import HostModel
 from mintmast.lab.links import Links
+from mintmast.lab.ports import Ports, own_address
 from mintmast.lab.stage import SECRET, Stage
 from mintmast.loop.memory import Way
 from mintmast.loop.real import SelectorLoop
@@ -34,11 +34,8 @@
         self.loop = SelectorLoop(lambda text: self.record("error", text=text))
         super().__init__(seed, settings, model, mutate)
         self.client = HttpClient(self.loop, ClientLimits(connect_time=1_000_000))
-        # an address of its own for each drill at work: a port that one has given back for a moment, while its
-        # host is dead, must not be taken by another's gateway, which would then serve the wrong viewers
-        pid = os.getpid()
-        self.address = f"127.{1 + pid % 254}.{pid // 254 % 256}.1"
-        self._ports: dict[str, int] = {}
+        self.address = own_address()
+        self._port = Ports(self.address)
         self.links: Links | None = None
         self._processes: dict[int, subprocess.Popen] = {}
         self._replaced: dict[str, subprocess.Popen] = {}  # by machine
@@ -52,13 +49,6 @@
         """Give the machine's wall clock."""
         return self.loop.wall()
 
-    def _port(self, name: str) -> int:
-        if name not in self._ports:
-            with socket.socket() as probe:
-                probe.bind((self.address, 0))
-                self._ports[name] = probe.getsockname()[1]
-        return self._ports[name]
-
     def place(self, name: str, port: int) -> tuple[Any, str, int]:
         """Give the one loop and a port kept over restarts."""
         return self.loop, self.address, self._port(name)
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -12,6 +12,7 @@
 from mintmast.lab.audit import Findings
 from mintmast.lab.drills import members
 from mintmast.lab.links import Links
+from mintmast.lab.ports import Ports, own_address
 from mintmast.lab.views import MOST, SETTLED, views
 from mintmast.loop.memory import Way, World
 from mintmast.loop.real import SelectorLoop
@@ -54,6 +55,12 @@
     assert all(report["rules"][rule]["checked"] for rule in OWN)
 
 
+def test_no_two_names_have_one_port():
+    port_of = Ports(own_address())
+    # 700 numbers drawn freely from some 28,000 would hold about nine twice
+    assert len({port_of(f"link-{number}") for number in range(700)}) == 700
+
+
 # The ways of both networks: the same fault looks the same to who is at its end
 
 
@@ -86,18 +93,11 @@
     memory = exchange({"to": ("gw1", 80)}, [(n, w, (near, world.run, put)) for n, w in WAYS.items()])
 
     loop = SelectorLoop()
-    ports = {}
-
-    def port_of(name):
-        if name not in ports:
-            probe = loop.listen("127.0.0.1", 0, lambda: None)
-            ports[name] = probe.port
-            probe.close()
-        return ports[name]
-
-    links = Links(loop, "127.0.0.1", 2, port_of, 1)
+    address = own_address()
+    port_of = Ports(address)
+    links = Links(loop, address, 2, port_of, 1)
     try:
-        server = HttpServer(loop, "127.0.0.1", port_of("gw1-peers"), answer)
+        server = HttpServer(loop, address, port_of("gw1-peers"), answer)
         links.listen(1)
         host, _, port = links.place(0, 1).rpartition(":")
         put = partial(links.ways.__setitem__, (1, 0))
