Set-ups are recorded before they leave; a start asks hosts what became of them

Need: a gateway that died forgot which set-ups were under way and which sessions played. Their leases ran out, and a gateway alone charged its viewers again.

Change: intents (decisions/sessions/intents.py) are on disk before a paid set-up's first byte; what cannot be recorded is not sent and refused, with the reason in log and metrics. At a start each host is asked after what was set up there (recovery.py, outcomes.FATES, POST /v1/settle): it plays (goes on, under its name, on its seat and lease), ran or may have run (spent), never ran (refused, its claim given back). Free sessions are written too and wait for nothing. Operators' drains and forgotten gateways are kept (orders.py), the drain's answer when durable. The module: SessionOpen.planned, and a charge is taken back only where it was made. Format 2 of the store.

--- a/mintmast/core/ports.py
+++ b/mintmast/core/ports.py
@@ -11,7 +11,7 @@
 from mintmast.decisions.gateways import talk
 from mintmast.decisions.gateways.records import Write
 from mintmast.decisions.messages import Told
-from mintmast.decisions.outcomes import Evidence
+from mintmast.decisions.outcomes import Evidence, Word
 from mintmast.interface import ListEntry, ListKind, NoteKind
 
 
@@ -91,6 +91,22 @@
         load.
         """
 
+    def settle(
+        self,
+        server: bytes,
+        sessions: dict[str, int],
+        lease: int,
+        until: int,
+        number: int,
+        clock: int,
+        done: Callable[[int, tuple[tuple[str, Word, int], ...], Told], None],
+    ) -> None:
+        """Ask after sessions (by name, with the epoch) of earlier lives, and take over those which play.
+
+        `done` hears from when on the host remembers (its clock, µs, -1 for no answer), and of each session
+        its word and its rung.
+        """
+
     def watch(self, server: bytes) -> None:
         """Open the line on which a host tells what happens; its end is told by `lost`."""
 
--- a/mintmast/core/service.py
+++ b/mintmast/core/service.py
@@ -13,8 +13,10 @@
 from mintmast.decisions import messages as msg
 from mintmast.decisions.gateways import talk
 from mintmast.decisions.gateways.records import Recovered, Write, Written
-from mintmast.decisions.outcomes import Evidence
-from mintmast.decisions.sessions.book import SessionBook
+from mintmast.decisions.outcomes import Evidence, Word
+from mintmast.decisions.sessions.book import NO_NAMES, SessionBook
+from mintmast.decisions.sessions.intents import Catalogue
+from mintmast.decisions.sessions.sessions import name_of
 from mintmast.loop import Loop
 
 Line = Callable[..., None]
@@ -31,7 +33,7 @@
 
 
 class Core:
-    """One gateway's sessions. `decide` is the module's `handle`; `title_of` names a title's number.
+    """One gateway's sessions. `decide` is the module's `handle`; `catalogue` names what settings number.
 
     `say(event, **fields)` takes log lines.
     """
@@ -43,7 +45,6 @@
         decide: Callable[[int, api.Event], list[api.Action]],
         hosts: HostPort,
         source: ListSource,
-        title_of: Callable[[int], str],
         lease: int,
         gateway: str,
         start: int,
@@ -51,12 +52,18 @@
         say: Line = lambda event, **fields: None,
         table: dict | None = None,
         members: tuple[str, ...] = (),
+        catalogue: Catalogue = NO_NAMES,
     ) -> None:
         self.loop, self.settings, self.hosts, self.source = loop, settings, hosts, source
         self.lease, self.gateway, self.start_number, self.say = lease, gateway, start, say
-        self._title_of = title_of
+        self._title_of = catalogue.titles.__getitem__
         self._random = random.Random(seed)
-        self.book = SessionBook(settings, decide, lease, start * EPOCHS_A_MS, table, gateway, start, members)
+        self.book = SessionBook(
+            settings, decide, lease, start * EPOCHS_A_MS, table, gateway, start, members, catalogue
+        )
+        self._names: dict[int, str] = {}  # of sessions that an earlier life named
+        self._numbers: dict[str, int] = {}
+        self._orders: dict[bytes, list[Callable[[bool], None]]] = {}
         self.peers: PeerPort | None = None  # set where there are members
         self.store: StorePort | None = None  # set where there is one
         self._answers: dict[int, Callable[[talk.PeerReply], None]] = {}
@@ -69,6 +76,9 @@
             msg.SendRung: self._rung,
             msg.SendEnd: self._end,
             msg.SendRenew: self._renew,
+            msg.SendSettle: self._settle,
+            msg.Named: self._named,
+            msg.Ordered: self._ordered,
             msg.Watch: lambda c: hosts.watch(c.server),
             msg.Unwatch: lambda c: hosts.unwatch(c.server),
             msg.Give: self._give,
@@ -92,10 +102,12 @@
 
     def name(self, session: int) -> str:
         """Give a session's name on wires: unique over gateways and their restarts."""
-        return f"{self.gateway}-{self.start_number:x}-{session}"
+        return self._names.get(session) or name_of(self.gateway, self.start_number, session)
 
     def number(self, name: str) -> int:
-        """Give the number of a session of this life; 0 for any other name."""
+        """Give the number of a session of this life, or found by it; 0 for any other name."""
+        if name in self._numbers:
+            return self._numbers[name]
         prefix, _, number = name.rpartition("-")
         mine = prefix == f"{self.gateway}-{self.start_number:x}"
         return int(number) if mine and number.isascii() and number.isdigit() and len(number) < 19 else 0
@@ -128,10 +140,16 @@
         if self._polls.pop(poll, None) is not None:
             self._take(msg.PollGone(poll))
 
-    def order_drain(self, server: bytes, on: bool, within: int | None) -> bool:
-        """Drain a host by an operator's order, or take that back; False for a host that is on no list."""
+    def order_drain(
+        self, server: bytes, on: bool, within: int | None, done: Callable[[bool], None] = lambda good: None
+    ) -> bool:
+        """Drain a host by an operator's order, or take that back; False for a host that is on no list.
+
+        It holds at once; `done` hears whether it would outlive this process, where there is a store.
+        """
         if server not in self.book.watch.hosts:
             return False
+        self._orders.setdefault(server, []).append(done)
         self.say("drain_ordered", host=server.decode(), on=on, within_us=within)
         self._take(msg.Drain(server, on, within))
         return True
@@ -270,6 +288,24 @@
             command.server, named, command.lease, command.until, command.number, command.clock, done
         )
 
+    def _settle(self, command: msg.SendSettle) -> None:
+        sent = self.loop.now()
+        named = {self.name(session): epoch for session, epoch in command.sessions}
+
+        def done(since: int, words: tuple[tuple[str, Word, int], ...], told: msg.Told) -> None:
+            said = tuple((self.number(name), word, rung) for name, word, rung in words if name in named)
+            self._take(msg.Settled(command.server, sent, command.number, since, said, told))
+
+        what = command.lease, command.until, command.number, command.clock
+        self.hosts.settle(command.server, named, *what, done)
+
+    def _named(self, command: msg.Named) -> None:
+        self._names[command.session], self._numbers[command.name] = command.name, command.session
+
+    def _ordered(self, command: msg.Ordered) -> None:
+        for done in self._orders.pop(command.server, []):
+            done(command.good)
+
     def _steer(self, command: msg.Steer) -> None:
         answer = self._polls.pop(command.poll, None)
         if answer is not None:
--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -337,8 +337,8 @@
         if session is None or session.server != event.server or event.attempt + 1 < session.attempts:
             return
         if server is not None:
-            server.sessions.pop(session.request, None)
-            self._charge(now, server, session, -session.kb)
+            if server.sessions.pop(session.request, None) is not None:
+                self._charge(now, server, session, -session.kb)
         session.server = None
         if event.outcome not in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT):
             session.may_have_run = True
@@ -374,7 +374,7 @@
         session.rung, session.kb = service.floor, self._rate(session, service.floor)
         session.unsettled = session.noted = True
         self.sessions[event.request] = session
-        self.handed_over = True
+        self.handed_over |= event.planned
         self._seat(session, 1)
         server = self.servers.get(event.server)
         if server is not None:
--- a/mintmast/decisions/gateways/claims.py
+++ b/mintmast/decisions/gateways/claims.py
@@ -116,7 +116,8 @@
         self.part = Witnessing(gateway, start, members, emit, self._own)
         self._claims: dict[int, _Claim] = {}  # by session
         self._by_number: dict[int, _Claim] = {}
-        self._owned: dict[str, tuple[int, int]] = {}  # digest: number, until when others may need to know
+        # digest: owner (this life or one before), number, until when others may need to know
+        self._owned: dict[str, tuple[str, int, int]] = {}
         self._number = 0
 
     @property
@@ -129,7 +130,7 @@
     def begin(self, now: int, session: int, key: str, length: int, until: int) -> None:
         """Claim a key for a session, by `until`; `length` of the session in µs, 0 for not known."""
         claim = _Claim(session, digest_of(key), (length or LONGEST) + KEPT, until)
-        if self._owned.get(claim.digest, (0, now))[1] > now:  # from a session that may have run
+        if self._owned.get(claim.digest, ("", 0, now))[2] > now:  # from a session that may have run
             self._decided(now, session, "this key has been spent")
             return
         if self.part.condemned:
@@ -199,7 +200,7 @@
                 self._send(now, claim, rest)
             return
         if claim.stage is Stage.OWNED:
-            self._owned[claim.digest] = claim.number, now + claim.keep
+            self._owned[claim.digest] = self._owner, claim.number, now + claim.keep
             self._decided(now, claim.session, "")
             return
         self._give_up(now, claim)
@@ -236,17 +237,40 @@
         """Release a try at all its witnesses, those too that have not voted."""
         self._by_number.pop(claim.number, None)
         self._owned.pop(claim.digest, None)
-        for each in claim.votes:
+        self._release(now, claim.digest, self._owner, claim.number)
+
+    def _release(self, now: int, digest: str, owner: str, number: int) -> None:
+        for each in witnesses_of(digest, self._members):
             if each == self._gateway:
-                self.part.release(now, claim.digest, self._owner, claim.number)
+                self.part.release(now, digest, owner, number)
             else:
-                self._emit(SendRelease(each, claim.digest, claim.number, now + RELEASE_TIME))
+                before = owner if owner != self._owner else ""
+                self._emit(SendRelease(each, digest, number, now + RELEASE_TIME, before))
+
+    # What earlier lives owned
+
+    def owned(self, session: int) -> tuple[str, int]:
+        """Give owner and number of the claim that a session's key is owned by; ("", 0) for none."""
+        claim = self._claims.get(session)
+        owns = claim is not None and claim.stage is Stage.OWNED
+        return (self._owner, claim.number) if owns and claim is not None else ("", 0)
+
+    def restore(self, now: int, digest: str, owner: str, number: int, keep: int) -> None:
+        """Take it from the records that an earlier life owned a key, still to be kept for so many µs."""
+        if self.on and owner:
+            self._owned[digest] = owner, number, now + keep
+
+    def give_back(self, now: int, digest: str) -> None:
+        """Release what an earlier life owned, as its session provably never ran."""
+        owner, number, _ = self._owned.pop(digest, ("", 0, 0))
+        if owner:
+            self._release(now, digest, owner, number)
 
     def _own(self, now: int) -> dict[str, Known]:
         """Give the keys that this gateway owns."""
-        for digest in [each for each, (_, until) in self._owned.items() if until <= now]:
+        for digest in [each for each, (*_, until) in self._owned.items() if until <= now]:
             del self._owned[digest]
         return {
-            digest: (digest, self._owner, number, until - now)
-            for digest, (number, until) in self._owned.items()
+            digest: (digest, owner, number, until - now)
+            for digest, (owner, number, until) in self._owned.items()
         }
--- a/mintmast/decisions/gateways/members.py
+++ b/mintmast/decisions/gateways/members.py
@@ -135,9 +135,10 @@
 
 
 class Forget(msgspec.Struct, frozen=True, gc=False):
-    """An operator's word that a gateway is gone for good."""
+    """An operator's word that a gateway is gone for good, given before this start where it names one."""
 
     name: str
+    start: int = 0
 
 
 Event = Tick | Heard | Refused | Forget
@@ -571,6 +572,10 @@
             return
         order = isinstance(event, Forget)
         told = replace(member.standing, state=State.DEAD)
+        if isinstance(event, Forget) and event.start:
+            if event.start < member.standing.start:
+                return  # another life of it has been heard of since
+            told = Standing(event.start, member.standing.incarnation, State.DEAD)
         if isinstance(event, Refused):
             told = refused(member.standing, event.start)
             if told == member.standing or (member.heard_at is not None and member.heard_at >= event.at):
--- a/mintmast/decisions/gateways/records.py
+++ b/mintmast/decisions/gateways/records.py
@@ -28,6 +28,9 @@
     WHOLE = "whole"
     GRANT = "grant"
     ASIDE = "aside"
+    INTENT = "intent"
+    DRAIN = "drain"
+    MEMBER = "member"
     CLOCK = "clock"
 
 
@@ -56,6 +59,14 @@
         "the word is sent",
         "another vouches for what this gateway granted, and the next life votes as if it had not promised",
     ),
+    Kind.INTENT: When(
+        "the first byte of a paid set-up leaves; nothing where it is free",
+        "the next life takes for unspent what may have run; with one gateway alone that is a second charge",
+    ),
+    Kind.DRAIN: When(
+        "the operator hears that the order is taken", "the next life sets up at a host that is to be emptied"
+    ),
+    Kind.MEMBER: When("", "the next life waits again for one of which an operator said that it is gone"),
     Kind.CLOCK: When("", "records are kept longer than they need be"),
 }
 
@@ -69,8 +80,8 @@
 
 
 def kept(kind: Kind, key: str, value: object) -> Kept:
-    """Give a record as it is stored; `value` None takes it out."""
-    return Kept(kind.value, key, None if value is None else msgspec.msgpack.encode(value))
+    """Give a record as it is stored."""
+    return Kept(kind.value, key, msgspec.msgpack.encode(value))
 
 
 class Write(msgspec.Struct, frozen=True, gc=False):
@@ -96,7 +107,36 @@
     released: tuple[tuple[str, int], ...] = ()
 
 
+class Intent(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """A session that is set up or was; `until` in µs of running.
+
+    `owner` and `number` are its claim's, `clock` the last reading of the host's clock (µs, -1 for none) heard
+    before the set-up left. With `over` it may have run and nothing is to be asked any more. Paid ones stand
+    under their key's digest, `free` ones under their names.
+    """
+
+    until: int
+    key: str
+    session: str  # its name on wires
+    server: str
+    epoch: int
+    clock: int
+    rung: int
+    service: str
+    tenant: str
+    title: str
+    best_rung: int
+    length: int
+    home: int
+    copies: int
+    free: bool
+    owner: str = ""
+    number: int = 0
+    over: bool = False
+
+
 _GRANTS = msgspec.msgpack.Decoder(Grant)
+_INTENTS = msgspec.msgpack.Decoder(Intent)
 
 
 @dataclass(slots=True)
@@ -108,6 +148,9 @@
     ran: int = 0  # µs
     grants: dict[str, tuple[Record, int]] = field(default_factory=dict)  # and µs still kept
     aside: dict[str, frozenset[str]] = field(default_factory=dict)
+    intents: dict[str, tuple[Intent, int]] = field(default_factory=dict)  # by digest, and µs still kept
+    drains: dict[str, int | None] = field(default_factory=dict)  # until when (µs of running) to be empty
+    members: dict[str, tuple[int, bool]] = field(default_factory=dict)  # last start, and whether forgotten
     faults: list[str] = field(default_factory=list)
 
     @property
@@ -120,6 +163,7 @@
     """Read what was kept. A record that does not make sense makes the whole of it doubtful, never a crash."""
     found = Recovered()
     grants: dict[str, Grant] = {}
+    intents: dict[str, Intent] = {}
     for row in rows:
         try:
             if row.value is None:
@@ -134,6 +178,12 @@
                     found.marked = True
                 case Kind.CLOCK:
                     found.ran = max(found.ran, msgspec.msgpack.decode(row.value, type=int))
+                case Kind.INTENT:
+                    intents[row.key] = _INTENTS.decode(row.value)
+                case Kind.DRAIN:
+                    found.drains[row.key] = msgspec.msgpack.decode(row.value, type=int | None)
+                case Kind.MEMBER:
+                    found.members[row.key] = msgspec.msgpack.decode(row.value, type=tuple[int, bool])
                 case Kind.ASIDE:
                     names = msgspec.msgpack.decode(row.value, type=tuple[str, ...])
                     found.aside[row.key] = frozenset(names)
@@ -143,6 +193,9 @@
         if grant.until > found.ran:
             record = Record(grant.owner, grant.number, grant.released)
             found.grants[digest] = record, grant.until - found.ran
+    for digest, intent in intents.items():
+        if intent.until > found.ran:
+            found.intents[digest] = intent, intent.until - found.ran
     return found
 
 
@@ -170,14 +223,24 @@
         return self._ran + now - self._began
 
     def keep(
-        self, now: int, kind: Kind, key: str, value: object, then: Callable[[int, bool], None] | None = None
+        self,
+        now: int,
+        kind: Kind,
+        key: str,
+        value: object,
+        then: Callable[[int, bool], None] | None = None,
+        gone: bool | None = None,
     ) -> None:
-        """Write a record (None takes it out); `then(now, good)` hears that it is durable, or may be lost."""
+        """Write a record, or take it out; `then(now, good)` hears that it is durable, or may be lost.
+
+        A value of None takes it out, where `gone` does not say otherwise.
+        """
         if not self.on:
             if then is not None:
                 then(now, True)
             return
-        records = [kept(kind, key, value)]
+        gone = value is None if gone is None else gone
+        records = [Kept(kind.value, key, None if gone else msgspec.msgpack.encode(value))]
         if self.ran(now) - self._told >= CLOCK_EVERY:
             self._told = self.ran(now)
             records.append(kept(Kind.CLOCK, "", self._told))
--- a/mintmast/decisions/gateways/talk.py
+++ b/mintmast/decisions/gateways/talk.py
@@ -115,12 +115,16 @@
 
 
 class SendRelease(msgspec.Struct, frozen=True, gc=False):
-    """To a peer adapter: give a claim back; nobody hears whether it came."""
+    """To a peer adapter: give a claim back; nobody hears whether it came.
+
+    `owner` is that of an earlier life of this gateway, "" for its own.
+    """
 
     peer: str
     digest: str
     number: int
     until: int
+    owner: str = ""
 
 
 class SendLearn(msgspec.Struct, frozen=True, gc=False):
--- a/mintmast/decisions/gateways/witnessing.py
+++ b/mintmast/decisions/gateways/witnessing.py
@@ -93,11 +93,15 @@
 
     def begin_learning(self, now: int, kept: Recovered | None = None) -> None:
         """Start, with what was kept of earlier lives; without a store nothing is known of them."""
+        if kept is not None:
+            self.keeper.begin(now, kept.ran)
         if not self._members:
             return
         wait = 2 * CLAIM_TIME
         if kept is not None:
-            self.keeper.begin(now, kept.ran)
+            for name, (start, _) in kept.members.items():
+                if name in self.covers.others:
+                    self.covers.lives(name, start)
             for digest, (record, keep) in kept.grants.items():
                 self.witness.restore(now, digest, record, keep)
             if kept.whole:
--- a/mintmast/decisions/hosts/hostwatch.py
+++ b/mintmast/decisions/hosts/hostwatch.py
@@ -45,6 +45,7 @@
 
     def __init__(self) -> None:
         self.hosts: dict[bytes, Watched] = {}
+        self.ordered: set[bytes] = set()  # to be drained by an operator's order, listed or not
 
     def list_entries(self, entries: tuple[ListEntry, ...], whole: bool) -> list[ListEntry]:
         """Take the list's news: changed entries, or all of them."""
@@ -56,7 +57,7 @@
         for entry in entries:
             host = self.hosts.get(entry.server)
             if host is None:
-                self.hosts[entry.server] = Watched(entry)
+                self.hosts[entry.server] = Watched(entry, ordered=entry.server in self.ordered)
             else:
                 host.listed = entry
         return self._changed(self.hosts if whole else named)
@@ -98,6 +99,7 @@
 
     def order(self, server: bytes, drains: bool) -> list[ListEntry]:
         """Take an operator's order to drain a host, or to take that back."""
+        (self.ordered.add if drains else self.ordered.discard)(server)
         host = self.hosts.get(server)
         if host is None:
             return []
--- a/mintmast/decisions/messages.py
+++ b/mintmast/decisions/messages.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from mintmast import interface as api
-from mintmast.decisions.outcomes import Evidence
+from mintmast.decisions.outcomes import Evidence, Word
 from mintmast.interface import ListKind
 
 
@@ -97,6 +97,21 @@
     sure: bool
 
 
+class Settled(msgspec.Struct, frozen=True, gc=False):
+    """A host adapter: a question after sessions of earlier lives, sent at `sent` (µs), is over.
+
+    `words` are (session, the host's word, its rung), nothing where no answer came; `since` is from when on
+    the host remembers, on its own clock (µs, -1 for not told).
+    """
+
+    server: bytes
+    sent: int
+    number: int
+    since: int = -1
+    words: tuple[tuple[int, Word, int], ...] = ()
+    told: Told = NOTHING
+
+
 class Renewed(msgspec.Struct, frozen=True, gc=False):
     """A host adapter: a renewal's call, sent at `sent` (µs), is over; `unknown` the host does not hold.
 
@@ -280,6 +295,21 @@
     lease: int
 
 
+class SendSettle(msgspec.Struct, frozen=True, gc=False):
+    """To a host adapter: ask what became of sessions (number, epoch) of earlier lives, and take them over.
+
+    `Settled` tells the end by `until` (µs). One that plays gets a lease of `lease` µs from `clock` on, as by
+    a renewal; one that has not run is passed over from then on.
+    """
+
+    server: bytes
+    sessions: tuple[tuple[int, int], ...]
+    until: int
+    number: int
+    clock: int
+    lease: int
+
+
 class Watch(msgspec.Struct, frozen=True, gc=False):
     """To a host adapter: open the line to a host."""
 
@@ -304,6 +334,20 @@
     standing: bool = False
 
 
+class Named(msgspec.Struct, frozen=True, gc=False):
+    """To the core: this session goes under a name that an earlier life gave it."""
+
+    session: int
+    name: str
+
+
+class Ordered(msgspec.Struct, frozen=True, gc=False):
+    """To the core: an operator's order (`Drain`) is taken, and durable where there is a store."""
+
+    server: bytes
+    good: bool
+
+
 class Wake(msgspec.Struct, frozen=True, gc=False):
     """To the loop: hand in `Due(token)` at `at` (µs)."""
 
--- a/mintmast/decisions/outcomes.py
+++ b/mintmast/decisions/outcomes.py
@@ -28,6 +28,7 @@
     CUT_REPLY = "cut reply"  # the connection broke within the reply
     SILENT = "silent"  # sent, and nothing came within the attempt's time
     LATE_UNSENT = "late unsent"  # the attempt's time ran out before a byte left
+    UNRECORDED = "unrecorded"  # its intent could not be made durable in time, so nothing was sent
     CALLED_OFF = "called off"  # the gateway called it off after a byte had left
     CALLED_OFF_UNSENT = "called off unsent"  # the gateway called it off before a byte left
 
@@ -63,6 +64,9 @@
     Evidence.LATE_UNSENT: Row(
         Outcome.CONNECT_FAILED, True, "its time ended with nothing sent; the call is dropped"
     ),
+    Evidence.UNRECORDED: Row(
+        Outcome.NOT_SENT, True, "no byte is written before the intent is durable; the host is not at fault"
+    ),
     Evidence.CALLED_OFF: Row(Outcome.CANCELLED, False, "a call-off may come after the start"),
     Evidence.CALLED_OFF_UNSENT: Row(Outcome.CONNECT_FAILED, True, "nothing was sent, and now never is"),
 }
@@ -71,3 +75,54 @@
 def may_have_run(evidence: Evidence) -> bool:
     """Tell whether the host may hold a session for it, so that it must be ended there."""
     return not TABLE[evidence].never_ran
+
+
+# What a host tells a gateway's next life of the set-ups that its earlier lives sent
+
+
+class Word(Enum):
+    """What a host tells of a session that it is asked for."""
+
+    PLAYS = "plays"
+    RAN = "ran"  # it ran here and is over
+    NOT_HERE = "not here"  # it did not run in this process, and will not any more
+
+
+class Fate(Enum):
+    """What became of a set-up of an earlier life."""
+
+    PLAYS = "plays"
+    RAN = "ran"
+    NEVER_RAN = "never ran"
+    UNKNOWN = "unknown"  # it may have run; nobody can tell
+
+
+@dataclass(slots=True, frozen=True)
+class FateRow:
+    """What a word proves, and why."""
+
+    fate: Fate
+    reason: str
+
+
+# (the host's word; whether its memory begins before the set-up left)
+FATES: dict[tuple[Word, bool], FateRow] = {
+    (Word.PLAYS, True): FateRow(Fate.PLAYS, "the host holds it, for this life from now on"),
+    (Word.PLAYS, False): FateRow(Fate.PLAYS, "what it holds it holds, however long it has run"),
+    (Word.RAN, True): FateRow(Fate.RAN, "the host says so itself"),
+    (Word.RAN, False): FateRow(Fate.RAN, "the host says so itself"),
+    (Word.NOT_HERE, True): FateRow(
+        Fate.NEVER_RAN, "the host remembers all since before it left, and passes over it from now on"
+    ),
+    (Word.NOT_HERE, False): FateRow(
+        Fate.UNKNOWN, "it may have run in a process before this one, of which nobody tells"
+    ),
+}
+
+
+def reaches(clock: int, since: int) -> bool:
+    """Tell whether a host's memory, from `since` on, covers a set-up sent after the reading `clock`.
+
+    Both are readings of the host's clock in µs, which never goes back, over its restarts too; -1 for none.
+    """
+    return 0 <= since <= clock
--- a/mintmast/decisions/sessions/book.py
+++ b/mintmast/decisions/sessions/book.py
@@ -40,6 +40,7 @@
     Say,
     SendRung,
     SessionEnded,
+    Settled,
     SetUpEnded,
     Verdict,
     Wake,
@@ -50,9 +51,12 @@
 from mintmast.decisions.sessions.budget import Budget
 from mintmast.decisions.sessions.ends import Ends
 from mintmast.decisions.sessions.fleet import Fleet
+from mintmast.decisions.sessions.intents import Catalogue, Intents
 from mintmast.decisions.sessions.keys import Keys
 from mintmast.decisions.sessions.leases import Leases
 from mintmast.decisions.sessions.moving import Moves
+from mintmast.decisions.sessions.orders import Orders
+from mintmast.decisions.sessions.recovery import Recovery
 from mintmast.decisions.sessions.sessions import Session, Sessions, Signal, Stage
 from mintmast.decisions.sessions.setups import SetUps
 from mintmast.interface import Outcome
@@ -60,6 +64,7 @@
 # µs after a session's deadline; the book answers by itself if its attempt's end was never told: a hole in the
 # network code must not cost a viewer his answer, and it must not come before the adapter's own timer
 BACKSTOP = 5_000
+NO_NAMES = Catalogue()
 
 
 class SessionBook:
@@ -75,18 +80,35 @@
         gateway: str = "",
         start: int = 0,
         members: tuple[str, ...] = (),
+        catalogue: Catalogue = NO_NAMES,
     ) -> None:
         self.settings, self._decide = settings, decide
         self._out: list[Command] = []
         self.sessions, self.keys = Sessions(), Keys()
         self.asks = Asks(self._emit)
         self.leases, self.ends = Leases(lease, self._emit), Ends(lease, self._emit)
-        self.set_ups = SetUps(self.leases, self.ends, self._emit, epoch_base, table)
+        self.claims = Claims(gateway, start, members, self._emit, self._claimed)
+        self.keeper = self.claims.part.keeper
+        self.intents = Intents(self.keeper, self.claims, catalogue, gateway, start)
+        self.set_ups = SetUps(
+            self.leases, self.ends, self._emit, epoch_base, table, self.intents.before, self._set_up_ended
+        )
         self.budget = Budget(settings.budget)
         self.moves = Moves(settings, self, self.sessions, self.leases, self.ends, self.budget, self._emit)
         self.fleet = Fleet(self, self.sessions, self.leases, self.moves, self._emit)
         self.watch = self.fleet.watch
-        self.claims = Claims(gateway, start, members, self._emit, self._claimed)
+        self.recovery = Recovery(
+            self,
+            settings,
+            catalogue,
+            self.sessions,
+            self.keys,
+            self.leases,
+            self.claims,
+            self.intents,
+            self._emit,
+        )
+        self.orders = Orders(self.fleet, self.keeper, self._emit)
         self.handlers: dict[type, Callable] = {
             Ask: self._ask,
             AskGone: self._ask_gone,
@@ -105,11 +127,12 @@
             Voted: lambda now, e: self.claims.voted(now, e),
             Learnt: lambda now, e: self.claims.part.learnt(now, e),
             AsideTold: lambda now, e: self.claims.part.asided(now, e),
-            PeerStands: lambda now, e: self.claims.part.stands(now, e),
+            PeerStands: self._stands,
             Condemned: lambda now, e: self.claims.part.condemn(now, e),
-            Written: lambda now, e: self.claims.part.keeper.written(now, e),
-            Drain: self.fleet.order,
-            ListNews: self.fleet.news,
+            Written: lambda now, e: self.keeper.written(now, e),
+            Settled: lambda now, e: self.recovery.settled(now, e),
+            Drain: self.orders.drain,
+            ListNews: self._news,
             Due: self._due,
         }
 
@@ -117,6 +140,9 @@
         """Begin, with what was kept of earlier lives where there is a store; the first call."""
         self._out = []
         self.claims.part.begin_learning(now, kept)
+        if kept is not None:
+            self.recovery.begin(now, kept)
+            self.orders.begin(now, kept)
         self.feed(now, api.Started())
         return self._out
 
@@ -143,7 +169,8 @@
                 self.asks.give(ask.ask, session, Verdict.PLAYS)
                 return
             under_way = session.out or self.claims.pending(session.number)
-            if under_way and (session.waiting or self.moves.came(session.number)):
+            found = self.recovery.holds(session.number)
+            if under_way and (session.waiting or self.moves.came(session.number) or found):
                 self.asks.wait(now, session, ask)
                 return
         if self.keys.spent(now, ask.key) or (session is not None and not session.free):
@@ -199,6 +226,8 @@
         self._unwatched(now, self.asks.gone(event.ask))
 
     def _unwatched(self, now: int, session: Session | None) -> None:
+        if session is not None and self.recovery.holds(session.number):
+            return  # its host is asked whoever waits
         if session is not None and session.out:
             self.feed(now, api.ViewerGone(session.number))
         elif session is not None and self.claims.pending(session.number):
@@ -217,6 +246,7 @@
         self.sessions.forget(session)
         self.keys.release(now, session.ask.key, session.number, session.ran and not session.free)
         self.claims.settle(now, session.number, session.ran)
+        self.intents.over(now, session.number, session.ran)
         self.moves.closed(now, session)
 
     # The module
@@ -243,8 +273,9 @@
             case api.Refuse(request, advice):
                 session = self.sessions.get(request)
                 if session is not None:  # what may have run is never called refused, whoever says so
+                    why = session.why or "no room"
                     spent = session.stage is Stage.SPENT
-                    self.close(now, session, Verdict.FAILED if spent else Verdict.REFUSED, advice, "no room")
+                    self.close(now, session, Verdict.FAILED if spent else Verdict.REFUSED, advice, why)
             case api.Fail(request):
                 session = self.sessions.get(request)
                 if session is not None:
@@ -304,6 +335,9 @@
 
     def _set_up_ended(self, now: int, event: SetUpEnded) -> None:
         session = self.sessions.get(event.session)
+        if event.evidence is Evidence.UNRECORDED and session is not None:
+            session.why = "records cannot be written"
+            self._emit(Say("unrecorded", (("session", session.number),)))
         row = self.set_ups.ended(now, session, event)
         if row is None or session is None or session.server is None:
             return
@@ -324,11 +358,7 @@
 
     def _started(self, now: int, session: Session, server: bytes, took: int, load: tuple[float, ...]) -> None:
         number = session.number
-        session.take(Signal.STARTED)
-        session.started = session.started or now
-        self.sessions.plays(session, server)
-        self.leases.started(now, server, session)
-        self.asks.give_all(session, Verdict.PLAYS)
+        self._plays(now, session, server)
         self.feed(now, api.Playing(number, session.attempts - 1, server, took))
         self.moves.arrived(now, number)
         for value, name in zip(load, self.settings.load_fields, strict=False):
@@ -336,6 +366,24 @@
             if kind is not None:
                 self.feed(now, api.Note(number, server, kind, value))
 
+    def _plays(self, now: int, session: Session, server: bytes) -> None:
+        session.take(Signal.STARTED)
+        session.started = session.started or now
+        self.sessions.plays(session, server)
+        self.leases.started(now, server, session)
+        self.asks.give_all(session, Verdict.PLAYS)
+
+    def settled(self, now: int, session: Session) -> None:
+        """Let a session of an earlier life that plays go on, and answer those who wait."""
+        self._plays(now, session, session.server or b"")
+
+    def unwanted(self, now: int, session: Session) -> None:
+        """End a session of an earlier life that plays and that nobody watches."""
+        self.set_ups.give_up(now, session, Signal.UNWATCHED)
+        self.close(now, session)
+        server, number = session.server or b"", session.number
+        self.feed(now, api.AttemptEnd(number, 0, server, Outcome.CANCELLED, 0, True))
+
     def ended(self, now: int, session: Session, outcome: Outcome, load: tuple[float, ...] = ()) -> None:
         """Book that a playing session is over at its host."""
         server, attempt = session.server or b"", session.attempts - 1
@@ -345,6 +393,17 @@
         died = outcome is Outcome.RESET
         self.moves.left(now, session.number, moves.Signal.OLD_DIED if died else moves.Signal.LEFT)
 
+    # Hosts, operators, other gateways
+
+    def _news(self, now: int, event: ListNews) -> None:
+        self.fleet.news(now, event)
+        if event.entries:
+            self.recovery.hosts_known(now)
+
+    def _stands(self, now: int, event: PeerStands) -> None:
+        self.claims.part.stands(now, event)
+        self.orders.stands(now, event)
+
     # Ends and leases
 
     def _end_ended(self, now: int, event: EndEnded) -> None:
@@ -389,8 +448,9 @@
             case ("late", number):
                 session = self.sessions.get(number)
                 if session is not None and session.out:
+                    seen = Evidence.UNRECORDED if session.held_back else Evidence.SILENT
                     self._emit(CallOff(number, session.attempts - 1))
-                    self._set_up_ended(now, SetUpEnded(number, session.attempts - 1, Evidence.SILENT))
+                    self._set_up_ended(now, SetUpEnded(number, session.attempts - 1, seen))
                 elif session is not None and self.claims.pending(number):
                     self.close(now, session, Verdict.FAILED, reason="time is up")
             case ("ask", ask):
@@ -399,6 +459,8 @@
                 self.claims.again(now, number)
             case ("learn",):
                 self.claims.part.learn(now)
+            case ("settle", server):
+                self.recovery.again(now, server)
             case ("watches",):
                 self.fleet.handover.more_lines(now)
             case ("entries",):
--- a/mintmast/decisions/sessions/keys.py
+++ b/mintmast/decisions/sessions/keys.py
@@ -3,7 +3,7 @@
 The danger is a second charge: a viewer who comes again with the key of a paid session that may have run. A
 key that is spent is kept after its session's end for as long as a second try may come. It also guards against
 a copy of the ask that arrives late. It may hurt a viewer whose session never came through though it may have
-run: he needs a new key, that is a new wish. The store will stand behind `take` and `release`.
+run: he needs a new key, that is a new wish. `intents.py` keeps it over a death.
 """
 
 from __future__ import annotations
@@ -32,6 +32,11 @@
         """Tell whether a key must not be set up again."""
         return self._spent.get(key, now) > now
 
+    def spend(self, now: int, key: str, keep: int) -> None:
+        """Take it from the records that a key is spent, still to be kept for so many µs."""
+        self._spent[key] = now + keep
+        self._order.append((now + keep, key))
+
     def take(self, key: str, session: int) -> None:
         """Let a session stand for a key."""
         if key:
--- a/mintmast/decisions/sessions/leases.py
+++ b/mintmast/decisions/sessions/leases.py
@@ -35,6 +35,15 @@
                 clock = self._clocks[server] = HostClock()
             clock.heard(reading, now, asked)
 
+    def reading(self, server: bytes) -> int:
+        """Give the last reading of a host's clock in µs, -1 for none."""
+        clock = self._clocks.get(server)
+        return clock.reading if clock is not None else -1
+
+    def ask(self, now: int, server: bytes, sessions: list[Session]) -> tuple[int, int]:
+        """Book a question that gives leases to those which play; give its number and the reading it names."""
+        return self._call(now, server, sessions, self.length)
+
     def begin(self, now: int, server: bytes, session: Session) -> tuple[int, int]:
         """Book the set-up of a session; give the call's number and the reading that it names."""
         session.lease = Lease()
@@ -46,7 +55,7 @@
         for session in sessions:
             if session.lease is not None:
                 session.lease.asked(self._calls, now, length, clock)
-        return self._calls, clock.reading if clock is not None else -1
+        return self._calls, self.reading(server)
 
     def started(self, now: int, server: bytes, session: Session) -> None:
         """Book that a host runs a session, and see to its renewals."""
--- a/mintmast/decisions/sessions/sessions.py
+++ b/mintmast/decisions/sessions/sessions.py
@@ -16,6 +16,11 @@
 from mintmast.interface import Effect
 
 
+def name_of(gateway: str, start: int, number: int) -> str:
+    """Give a session's name on wires: unique over gateways and their lives."""
+    return f"{gateway}-{start:x}-{number}"
+
+
 class Stage(Enum):
     """Where a session stands."""
 
@@ -97,6 +102,8 @@
     epoch: int = 0
     attempts: int = 0
     sent_at: int = 0
+    held_back: bool = False  # its attempt waits for its intent to be durable; nothing has left
+    why: str = ""  # what a refusal rests on, where it is not want of room
     started: int = 0  # when it first played, also at the host from which it was moved
     ran: bool = False  # when it was over, something of it may have run
     lease: Lease | None = None  # leases
--- a/mintmast/decisions/sessions/setups.py
+++ b/mintmast/decisions/sessions/setups.py
@@ -10,9 +10,15 @@
 from mintmast.decisions.sessions.leases import Leases
 from mintmast.decisions.sessions.sessions import Act, Session, Signal
 
+# what must be done before a session leaves, with the reading of its host's clock; `then(now, good)` lets it
+Before = Callable[[int, Session, int, Callable[[int, bool], None]], None]
+
 
 class SetUps:
-    """The set-ups of one gateway; `epoch` is the highest ever given, `table` the outcomes (for drills)."""
+    """The set-ups of one gateway; `epoch` is the highest ever given, `table` the outcomes (for drills).
+
+    `before` lets an attempt leave, or says that it may not: `unrecorded` hears of that one's end.
+    """
 
     def __init__(
         self,
@@ -21,7 +27,10 @@
         emit: Callable[[object], None],
         epoch: int,
         table: dict[Evidence, Row] | None,
+        before: Before,
+        unrecorded: Callable[[int, SetUpEnded], None],
     ) -> None:
+        self._before, self._unrecorded = before, unrecorded
         self._leases, self._ends, self._emit = leases, ends, emit
         self._epoch, self._table = epoch, table or TABLE
         self.late = 0  # sessions found running after their attempt was given up
@@ -32,11 +41,23 @@
         self._epoch += 1
         session.server, session.epoch, session.sent_at = server, self._epoch, now
         session.attempts += 1
+        session.held_back, session.lease = True, None
+        epoch = self._epoch
         until = min(timeout_at or session.deadline, session.deadline)
-        number, clock = self._leases.begin(now, server, session)
-        attempt, epoch = session.attempts - 1, session.epoch
-        what = session.number, attempt, server, session.rung, epoch
-        self._emit(SendSetUp(*what, until, session.ask, number, clock, moved_from))
+
+        def leave(at: int, good: bool) -> None:
+            if not session.held_back or session.epoch != epoch:
+                return  # given up meanwhile, and sure that nothing left
+            attempt = session.attempts - 1
+            if not good:
+                self._unrecorded(at, SetUpEnded(session.number, attempt, Evidence.UNRECORDED))
+                return
+            session.held_back, session.sent_at = False, at
+            number, clock = self._leases.begin(at, server, session)
+            what = session.number, attempt, server, session.rung, epoch
+            self._emit(SendSetUp(*what, until, session.ask, number, clock, moved_from))
+
+        self._before(now, session, self._leases.reading(server), leave)
 
     def ended(self, now: int, session: Session | None, event: SetUpEnded) -> Row | None:
         """Take what was seen of an attempt; None where it had been given up before.
@@ -49,6 +70,7 @@
             self.late += event.evidence is Evidence.STARTED
             return None
         row = self._table[event.evidence]
+        session.held_back = False
         if row.outcome is not None and session.server is not None:
             session.take(Signal.NEVER_RAN if row.never_ran else Signal.MAY_HAVE_RUN)
             if may_have_run(event.evidence):  # by what was seen, whatever a drill's table makes of it
@@ -57,6 +79,10 @@
 
     def give_up(self, now: int, session: Session, signal: Signal) -> None:
         """Call an attempt off, or end what nobody watches."""
+        if session.held_back:
+            session.held_back = False
+            session.take(Signal.NEVER_RAN)
+            return
         acts = session.take(signal)
         if Act.CALL_OFF in acts:
             self._emit(CallOff(session.number, session.attempts - 1))
--- a/mintmast/gateway.py
+++ b/mintmast/gateway.py
@@ -16,6 +16,7 @@
 from mintmast.decide import Controller
 from mintmast.decisions.gateways.records import Recovered, Written
 from mintmast.decisions.gateways.standing import Proof
+from mintmast.decisions.sessions.intents import Catalogue
 from mintmast.fronts.dash import DashFront
 from mintmast.hosts.media import MediaHosts
 from mintmast.http.client import ClientLimits
@@ -100,14 +101,15 @@
         if "list" in config.raw:
             told = config["list"]
             self.list = MergedList(loop, told, config["fleet"], seed, saved, self.say)
-        names = [title.name for title in config.titles.values()]
+        catalogue = Catalogue(
+            tuple(config.classes), tuple(config.tenants), tuple(each.name for each in config.titles.values())
+        )
         self.core = Core(
             loop,
             settings,
             self.controller.handle,
             self.hosts,
             self.list,
-            names.__getitem__,
             hosts["lease_ms"] * 1000,
             config["gateway"],
             start,
@@ -117,6 +119,7 @@
             tuple(sorted(each["name"] for each in config["peers"]["members"]))
             if "peers" in config.raw
             else (),
+            catalogue,
         )
         self.peers, self.roster = None, None
         if "peers" in config.raw:
@@ -140,6 +143,9 @@
             self.core.store = store
             store.attach(self.core.written, self.say)
         self.core.begin(None if store is None else store.kept)
+        for name, (known, forgotten) in (store.kept.members if store is not None else {}).items():
+            if forgotten and self.roster is not None:
+                self.roster.forget(name, known)
         self.say("serving", port=self.dash.server.port, start=start, hosts=len(config.entries))
 
     def _meet(self, told: dict[str, Any], start: int, seed: int) -> None:
@@ -175,6 +181,7 @@
         self.metrics.late.set(self.core.book.set_ups.late)
         if self.core.store is not None:
             self.metrics.store(self.core.store.failing)
+            self.metrics.unsettled.set(self.core.book.recovery.open)
         if self.roster is not None:
             self.metrics.roster(self.members(), [each.name.lower() for each in Proof])
         exchange.respond(200, [("Content-Type", "text/plain; version=0.0.4")], self.metrics.text())
@@ -226,10 +233,15 @@
             exchange.problem(400, f"not a drain order: {error}")
             return
         within = None if order.within_s is None else int(order.within_s * 1e6)
-        if not self.core.order_drain(order.host.encode(), order.on, within):
+
+        def taken(good: bool) -> None:
+            if good:
+                _tell(exchange, self.moves())
+            else:
+                exchange.problem(503, "it holds, but not over a restart: records cannot be written")
+
+        if not self.core.order_drain(order.host.encode(), order.on, within, taken):
             exchange.problem(404, f"{order.host} is on no list")
-            return
-        _tell(exchange, self.moves())
 
     def moves(self) -> dict[str, Any]:
         """Tell what drains, what is under way and what holds each drain."""
--- a/mintmast/hosts/media.py
+++ b/mintmast/hosts/media.py
@@ -11,7 +11,7 @@
 
 from mintmast.core.ports import HostEvents, Order
 from mintmast.decisions.messages import NOTHING, Told
-from mintmast.decisions.outcomes import Evidence, may_have_run
+from mintmast.decisions.outcomes import Evidence, Word, may_have_run
 from mintmast.hosts.protocol import CLOCK, LOAD, NEVER_RAN, read_load
 from mintmast.http.client import DEFAULT, Address, Call, ClientLimits, Fault, HttpClient, Reply
 from mintmast.http.events import EventReader
@@ -149,9 +149,36 @@
             done(answered, arrived, unknown, self._told(reply))
 
         told = {name: {"epoch": epoch, "rung": rung, "kb": kb} for name, epoch, rung, kb in sessions}
-        body = {"lease_ms": lease // 1000, "call": number, "clock": clock, "sessions": told}
+        body = {"lease_ms": lease // 1000, "call": number, "clock": clock, "sessions": told, "who": self._who}
         self._call(server, "POST", "", ended, until, body, path="/v1/leases")
 
+    def settle(
+        self,
+        server: bytes,
+        sessions: dict[str, int],
+        lease: int,
+        until: int,
+        number: int,
+        clock: int,
+        done: Callable[[int, tuple[tuple[str, Word, int], ...], Told], None],
+    ) -> None:
+        """Ask after sessions of earlier lives, and take over those which play."""
+
+        def ended(reply: Reply | Fault) -> None:
+            if isinstance(reply, Fault) or reply.status != 200:
+                done(-1, (), self._told(reply))
+                return
+            told = _read(reply.body)
+            about = told.get("sessions")
+            words = [(name, _word(each)) for name, each in about.items()] if isinstance(about, dict) else []
+            since = _reading(told.get("since", ""))
+            said = tuple((name, *word) for name, word in words if word is not None)
+            done(since, said, self._told(reply))
+
+        asked = {name: {"epoch": epoch} for name, epoch in sessions.items()}
+        body = {"who": self._who, "lease_ms": lease // 1000, "call": number, "clock": clock}
+        self._call(server, "POST", "", ended, until, {**body, "sessions": asked}, path="/v1/settle")
+
     def watch(self, server: bytes) -> None:
         """Open the line on which a host tells what happens."""
         if server not in self._lines and self._events is not None:
@@ -199,6 +226,19 @@
     return int(text) if text.isascii() and text.isdigit() and len(text) < 19 else -1
 
 
+def _word(told: object) -> tuple[Word, int] | None:
+    """Give what a host tells of one session, and its rung; None for what is none."""
+    if not isinstance(told, dict):
+        return None
+    try:
+        word = Word(told.get("state"))
+    except ValueError:
+        return None
+    rung = told.get("rung", 0)
+    good = isinstance(rung, int) and not isinstance(rung, bool) and 0 <= rung < 256
+    return (word, rung) if good else None
+
+
 def _read(body: bytes) -> dict[str, Any]:
     try:
         value = msgspec.json.decode(body)
--- a/mintmast/interface.py
+++ b/mintmast/interface.py
@@ -180,7 +180,10 @@
 
 @dataclass(slots=True, frozen=True)
 class SessionOpen:
-    """A session that already plays when the gateway starts."""
+    """A session that already plays when the gateway starts.
+
+    `planned` is false where nobody handed it over: this gateway found it after a death.
+    """
 
     request: int
     service: int
@@ -189,6 +192,7 @@
     best_rung: int
     server: bytes
     length_hint: int = 0
+    planned: bool = True
 
 
 @dataclass(slots=True, frozen=True)
--- a/mintmast/lab/audit.py
+++ b/mintmast/lab/audit.py
@@ -27,6 +27,7 @@
     under_way: int = 0  # longest from the gateway's counting of an attempt to its arrival at a host
     free: float = 0.0
     ratio: float = 0.0
+    lives: bool = False  # a gateway's seats count over all its lives: it keeps records
 
 
 @dataclass(slots=True)
@@ -71,6 +72,8 @@
     _terms(by, found, terms)
     if terms.span:
         _budget(by, found, terms)
+    for row in by["votes"]:
+        found.see("votes_at_end", *[f"{row['gateway']} does not vote"] * (not row["votes"]))
     return found
 
 
@@ -241,7 +244,7 @@
     changes: dict[tuple, list[tuple[int, int, str]]] = defaultdict(list)
     for row in by["ran"]:
         if row["paid"] and (row["session"], row["epoch"]) not in unheard:
-            place = row["who"], row["title"]
+            place = row["who"].partition("&")[0] if terms.lives else row["who"], row["title"]
             end = over.get((row["host"], row["session"]), 1 << 62)
             changes[place] += [(row["at"], 1, row["session"]), (end, -1, row["session"])]
     for place, steps in changes.items():
--- a/mintmast/lab/drills/frame.py
+++ b/mintmast/lab/drills/frame.py
@@ -40,6 +40,7 @@
         free=rules["budget"]["free"],
         ratio=rules["budget"]["ratio"],
         under_way=conf["hosts"]["connect_ms"] * 1000 + END_QUICK,
+        lives=stage.stores,
     )
 
 
@@ -141,6 +142,10 @@
     measures["set_ups"] = seen.get("set_up_came", 0)
     measures["ran"] = seen.get("ran", 0)
     measures["answers_lost"] = seen.get("answer_lost", 0) + seen.get("answer_cut", 0)
+    for state in ("plays", "ran", "not here"):
+        told = sum(row["what"] == "settled" and row["state"] == state for row in stage.rows)
+        if stage.stores:
+            measures[f"settled_{state.replace(' ', '_')}"] = told
     measures["errors"] = seen.get("error", 0)
     measures["viewers_unfinished"] = viewers.open
     held = sum(len(host.sessions) for host in stage.hosts.values() if host.alive)
--- a/mintmast/lab/mutant.py
+++ b/mintmast/lab/mutant.py
@@ -11,8 +11,11 @@
 from mintmast.decisions.gateways import members, records
 from mintmast.decisions.gateways.standing import Proof, Standing, State
 from mintmast.decisions.outcomes import TABLE, Evidence, Row
+from mintmast.decisions.sessions import recovery
 from mintmast.interface import Outcome
+from mintmast.lab import disk
 from mintmast.process import serve
+from mintmast.store import line
 
 _set = members.Members._set
 
@@ -28,12 +31,23 @@
 _keep = records.Keeper.keep
 
 
-def _told_early(self: records.Keeper, now: int, kind: Any, key: str, value: Any, then: Any = None) -> None:
-    _keep(self, now, kind, key, value)
+def _told_early(
+    self: records.Keeper, now: int, kind: Any, key: str, value: Any, then: Any = None, gone: Any = None
+) -> None:
+    _keep(self, now, kind, key, value, None, gone)
     if then is not None:
         then(now, True)
 
 
+def _no_intent(
+    self: records.Keeper, now: int, kind: Any, key: str, value: Any, *rest: Any, **more: Any
+) -> None:
+    if kind is not records.Kind.INTENT:
+        _keep(self, now, kind, key, value, *rest, **more)
+    elif rest and rest[0] is not None:
+        rest[0](now, True)
+
+
 # rows of the outcome table that are wrong
 ROWS: dict[str, dict[Evidence, Row]] = {
     "resend-paid": {
@@ -47,6 +61,10 @@
     "no-refutation": (members, "refuted", lambda own, told: own),
     "lost-is-dead": (members.Members, "_set", _lost_is_dead),
     "told-early": (records.Keeper, "keep", _told_early),
+    "no-intent": (records.Keeper, "keep", _no_intent),
+    "start-from-clock": (disk, "next_life", lambda wall, before: wall),
+    "start-from-clock-real": (line, "next_life", lambda wall, before: wall),
+    "trusting": (recovery, "reaches", lambda clock, since: True),
 }
 MUTATIONS = (*ROWS, *FAULTS)
 
--- a/mintmast/peers/lines.py
+++ b/mintmast/peers/lines.py
@@ -119,6 +119,7 @@
     def release(self, call: SendRelease) -> None:
         """Give a claim back."""
         body = self._body(digest=call.digest, number=call.number, release=True)
+        body.owner = call.owner or self._owner
         self._call(call.peer, body, call.until, lambda answer: None)
 
     def learn(self, call: SendLearn) -> None:
--- a/mintmast/peers/roster.py
+++ b/mintmast/peers/roster.py
@@ -185,12 +185,15 @@
 
     # For operators
 
-    def forget(self, name: str) -> bool:
-        """Take an operator's word that a gateway is gone for good; False for one that is none."""
+    def forget(self, name: str, start: int = 0) -> bool:
+        """Take an operator's word that a gateway is gone for good; False for one that is none.
+
+        `start` is the last one known of it when the word was given, where that was before this start.
+        """
         if name not in self.members.others:
             return False
         self._say("member_forgotten", name=name)
-        self._take(Forget(name))
+        self._take(Forget(name, start))
         return True
 
     def state(self) -> dict[str, Any]:
--- a/mintmast/store/engine.py
+++ b/mintmast/store/engine.py
@@ -9,14 +9,14 @@
 import sqlite3
 import time
 import zlib
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
 from typing import Any
 
 from mintmast.decisions.gateways.records import Kept
 
-# of the file's layout; a newer one is refused untouched
-FORMAT = 1
+# of the file's layout; a newer one is refused untouched. 2 has kinds of records that 1 does not know
+FORMAT = 2
 # marks the file as this program's (SQLite's application_id): "mmst"
 MARK = 0x6D6D7374
 
@@ -25,6 +25,14 @@
     """The store cannot be used; one line that says why."""
 
 
+# opens an SQLite file by its URI, waiting so many s for who has it; the laboratory hands in another
+Connect = Callable[[str, float], Any]
+
+
+def _connect(uri: str, wait: float) -> Any:
+    return sqlite3.connect(uri, timeout=wait, uri=True)
+
+
 def _sum(kind: str, key: str, value: bytes) -> int:
     return zlib.crc32(b"\0".join((kind.encode(), key.encode(), value)))
 
@@ -36,8 +44,10 @@
     new one begun; `moved` tells where to.
     """
 
-    def __init__(self, path: str, gateway: str, read_only: bool = False, wait: float = 0.5) -> None:
-        self.path, self.moved, self._wait = path, "", wait
+    def __init__(
+        self, path: str, gateway: str, read_only: bool = False, wait: float = 0.5, connect: Connect = _connect
+    ) -> None:
+        self.path, self.moved, self._wait, self._connect = path, "", wait, connect
         self._db: Any = None
         try:
             self._open(read_only)
@@ -63,7 +73,7 @@
         if read_only and not path.exists():
             raise StoreError(f"{self.path}: there is no such file")
         uri = f"{path.as_uri()}?mode={'ro' if read_only else 'rwc'}"
-        self._db = sqlite3.connect(uri, timeout=self._wait, uri=True)
+        self._db = self._connect(uri, self._wait)
         (mark,) = self._db.execute("PRAGMA application_id").fetchone()
         (version,) = self._db.execute("PRAGMA user_version").fetchone()
         (tables,) = self._db.execute("SELECT count(*) FROM sqlite_master").fetchone()
@@ -74,6 +84,7 @@
         if read_only:
             return
         self._db.execute("PRAGMA locking_mode = EXCLUSIVE")  # a second process on the file does not start
+        self._db.execute("PRAGMA auto_vacuum = INCREMENTAL")  # where the file is new, or is compacted
         self._db.execute("PRAGMA journal_mode = WAL")
         self._db.execute("PRAGMA synchronous = FULL")
         self._db.execute(f"PRAGMA application_id = {MARK}")
@@ -125,8 +136,23 @@
             faults = [str(error)]
         return faults
 
+    def size(self) -> tuple[int, int]:
+        """Give the bytes of the file without its log, and those of them that hold nothing."""
+        pages, free, each = (
+            self._db.execute(f"PRAGMA {what}").fetchone()[0]
+            for what in ("page_count", "freelist_count", "page_size")
+        )
+        return pages * each, free * each
+
+    def give_back(self, pages: int) -> None:
+        """Give back at most so many pages that hold nothing; a file of format 1 never. Raises StoreError."""
+        try:
+            self._db.execute(f"PRAGMA incremental_vacuum({int(pages)})").fetchall()
+        except sqlite3.Error as error:
+            raise StoreError(f"{self.path}: {error}") from None
+
     def compact(self) -> None:
-        """Give room back. Raises StoreError."""
+        """Give all room back at once. Raises StoreError."""
         try:
             self._db.execute("VACUUM")
         except sqlite3.Error as error:
--- a/mintmast/telemetry/metrics.py
+++ b/mintmast/telemetry/metrics.py
@@ -52,6 +52,14 @@
         self.store_failing = Gauge(
             "mintmast_store_failing", "1 where records cannot be written", registry=self.registry
         )
+        self.unrecorded = Counter(
+            "mintmast_unrecorded",
+            "paid set-ups not sent for want of a record",
+            registry=self.registry,
+        )
+        self.unsettled = Gauge(
+            "mintmast_unsettled", "paid sessions of earlier lives not settled yet", registry=self.registry
+        )
         self.waits_for = Gauge(
             "mintmast_witness_waits_for", "gateways whose word it waits for to vote", registry=self.registry
         )
@@ -78,6 +86,8 @@
             self.answer_time.observe(fields["took_ms"] / 1000)
         elif event == "attempt":
             self.attempts.labels(fields["evidence"]).inc()
+        elif event == "unrecorded":
+            self.unrecorded.inc()
 
     def text(self) -> bytes:
         """Give all in the text exposition format."""
