The store's file gives room back while nothing is written; its size is told

What is over is taken out of the file one by one, and the file kept its largest size until 'mintmast store compact'. The writer gives back 256 pages at once, a quarter of a second after the last write at the soonest, while more than a quarter of the file holds nothing; mintmast_store_bytes tells both. A file of format 1 is read and goes on as format 2. Tests: 1,500 records of 3 kB written and taken out, the file under 1 MB while the line stands; an old file by hand.

--- a/mintmast/core/ports.py
+++ b/mintmast/core/ports.py
@@ -144,6 +144,7 @@
     """What makes records durable; the end of a write that has a token is told once, by `Core.written`."""
 
     failing: str  # why writes fail, "" where they do not
+    size: tuple[int, int]  # bytes of the file, and those of them that hold nothing
 
     def write(self, command: Write) -> None:
         """Write these; nothing waits for it here."""
--- a/mintmast/gateway.py
+++ b/mintmast/gateway.py
@@ -180,7 +180,7 @@
         self.metrics.held.set(self.core.book.held)
         self.metrics.late.set(self.core.book.set_ups.late)
         if self.core.store is not None:
-            self.metrics.store(self.core.store.failing)
+            self.metrics.store(self.core.store.failing, self.core.store.size)
             self.metrics.unsettled.set(self.core.book.recovery.open)
         if self.roster is not None:
             self.metrics.roster(self.members(), [each.name.lower() for each in Proof])
--- a/mintmast/lab/crashdisk.py
+++ b/mintmast/lab/crashdisk.py
@@ -109,6 +109,10 @@
         """Carry a statement out. Raises sqlite3.Error."""
         return self._sure(self._db.execute, *what)
 
+    def executescript(self, what: str) -> None:
+        """Carry statements out to their ends. Raises sqlite3.Error."""
+        self._sure(lambda: list(self._db.execute(what)))
+
     def __enter__(self) -> None:
         self._sure(self._db.__enter__)
 
--- a/mintmast/lab/disk.py
+++ b/mintmast/lab/disk.py
@@ -41,6 +41,7 @@
     """One life's line to its disk."""
 
     failing = ""
+    size = (0, 0)
 
     def __init__(
         self, world: World, node: Node, disk: Disk, wall_ms: int, flush: tuple[int, int] = FLUSH
--- a/mintmast/store/engine.py
+++ b/mintmast/store/engine.py
@@ -147,7 +147,8 @@
     def give_back(self, pages: int) -> None:
         """Give back at most so many pages that hold nothing; a file of format 1 never. Raises StoreError."""
         try:
-            self._db.execute(f"PRAGMA incremental_vacuum({int(pages)})").fetchall()
+            # a step a page: a plain execute would take the first only
+            self._db.executescript(f"PRAGMA incremental_vacuum({int(pages)})")
         except sqlite3.Error as error:
             raise StoreError(f"{self.path}: {error}") from None
 
--- a/mintmast/store/line.py
+++ b/mintmast/store/line.py
@@ -99,7 +99,7 @@
 class StoreLine(Handler):
     """The line to the writer, which is started again when it ends. What was not told as good may be lost.
 
-    `failing` tells why writes fail, "" where they do not.
+    `failing` tells why writes fail, "" where they do not; `size` the file's bytes and those holding nothing.
     """
 
     def __init__(self, loop: SelectorLoop, opened: Opened) -> None:
@@ -110,6 +110,7 @@
         self._waiting: dict[int, None] = {}
         self._unanswered = 0
         self.failing = ""
+        self.size = (0, 0)
         self._closing = False
         self._frames = Frames()
         self._stream: Stream | None = loop.adopt(opened.sock, self, LIMITS)
@@ -136,6 +137,8 @@
             told = msgspec.msgpack.decode(frame)
             if isinstance(told, str) and told.startswith("!"):
                 self._fails(told[1:])
+            elif isinstance(told, dict):
+                self.size = int(told["bytes"]), int(told["free"])
             elif isinstance(told, list) and len(told) == 3 and isinstance(told[1], bool):
                 self._fails("" if told[1] else told[2])
                 self._unanswered -= 1
--- a/mintmast/store/writer.py
+++ b/mintmast/store/writer.py
@@ -3,7 +3,8 @@
 The gateway's loop must never wait for a disk, and a flush may take seconds; so this process does. Frames on
 the socket FD: four bytes of length, then MessagePack. First all rows are told (`[rows...]`, then `true`, or a
 string that says why not); then come writes (`[token, [records]]`), all that lie there at once become one
-commit, and each is answered (`[token, good, why not]`).
+commit, and each is answered (`[token, good, why not]`). While nothing comes, room that holds nothing is given
+back to the file system, a little at a time, and the file's size is told (`{"bytes": B, "free": B}`).
 """
 
 from __future__ import annotations
@@ -12,7 +13,9 @@
 import select
 import signal
 import socket
+import sqlite3
 import sys
+import time
 from itertools import islice
 
 import msgspec
@@ -25,6 +28,12 @@
 LAST_FLUSH = 3.0
 # rows in one frame at the start: some 60 kB
 ROWS_AT_ONCE = 500
+# s without a write after which room is given back, and pages at once: 1 MB, some ms that a write may wait
+IDLE, PAGES_AT_ONCE = 0.25, 256
+# part of the file that may hold nothing: what is over is soon needed again
+SLACK = 0.25
+# s between two words of the size
+SIZE_EVERY = 1.0
 
 
 class Batch(msgspec.Struct, array_like=True):
@@ -44,6 +53,31 @@
     return b"".join(framed([batch.token, not why, why]) for batch in batches)
 
 
+class _Housekeeper:
+    """Waits for writes, and gives room back while none comes."""
+
+    def __init__(self, engine: Engine, sock: socket.socket) -> None:
+        self._engine, self._sock = engine, sock
+        self._told_at = 0.0
+
+    def wait(self) -> bytes:
+        """Give the next bytes, none at the end."""
+        while not select.select([self._sock], [], [], IDLE)[0]:
+            try:
+                size, free = self._engine.size()
+                if free > SLACK * size:
+                    self._engine.give_back(PAGES_AT_ONCE)
+                if time.monotonic() - self._told_at >= SIZE_EVERY:
+                    self._told_at = time.monotonic()
+                    self._sock.sendall(framed({"bytes": size, "free": free}))
+            except (StoreError, OSError, sqlite3.Error):
+                pass  # the next write says what is wrong
+        try:
+            return self._sock.recv(1 << 16)
+        except OSError:  # the gateway died with words of ours unread; what it sent was read before
+            return b""
+
+
 def main(fd: int, path: str, gateway: str) -> int:
     """Open the file, tell what is in it, write until the gateway is gone."""
     for each in (signal.SIGINT, signal.SIGTERM):  # the gateway ends first, and what it wrote is still written
@@ -58,8 +92,8 @@
     except (StoreError, OSError) as error:
         sock.sendall(framed(f"!{error}"))
         return 2
-    frames = Frames()
-    while data := sock.recv(1 << 16):
+    frames, keeper = Frames(), _Housekeeper(engine, sock)
+    while data := keeper.wait():
         batches = [msgspec.msgpack.decode(frame, type=Batch) for frame in frames.feed(data)]
         while batches and select.select([sock], [], [], 0)[0] and len(batches) < 10_000:
             more = sock.recv(1 << 16)
--- a/mintmast/telemetry/metrics.py
+++ b/mintmast/telemetry/metrics.py
@@ -52,6 +52,9 @@
         self.store_failing = Gauge(
             "mintmast_store_failing", "1 where records cannot be written", registry=self.registry
         )
+        self.store_bytes = Gauge(
+            "mintmast_store_bytes", "bytes of the store, and free ones in it", ["of"], registry=self.registry
+        )
         self.unrecorded = Counter(
             "mintmast_unrecorded",
             "paid set-ups not sent for want of a record",
@@ -64,9 +67,11 @@
             "mintmast_witness_waits_for", "gateways whose word it waits for to vote", registry=self.registry
         )
 
-    def store(self, failing: str) -> None:
-        """Take whether records can be written."""
+    def store(self, failing: str, size: tuple[int, int]) -> None:
+        """Take whether records can be written, the file's bytes, and those of them that hold nothing."""
         self.store_failing.set(bool(failing))
+        for of, value in zip(("file", "free"), size, strict=True):
+            self.store_bytes.labels(of).set(value)
 
     def roster(self, told: dict[str, Any], states: list[str]) -> None:
         """Take what the gateway believes of the others."""
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -5,6 +5,7 @@
 import sqlite3
 import sys
 import time
+import zlib
 from contextlib import closing
 from dataclasses import replace
 
@@ -131,6 +132,44 @@
     assert len(state(engine)) == 2
 
 
+def test_room_that_holds_nothing_is_given_back_while_nothing_is_written(tmp_path):
+    path, loop = str(tmp_path / "a.store"), SelectorLoop()
+    line = StoreLine(loop, open_store(path, "gw0", 1))
+    end = time.monotonic() + 30
+    for value in (b"x" * 3000, None):
+        rows = tuple(kept(f"k{n}", value) for n in range(1500))
+        line.write(Write(rows, 1))
+        while not (line.size[0] > 4_000_000 if value else 0 < line.size[0] < 1_000_000):
+            assert time.monotonic() < end, line.size
+            loop.run(loop.now() + 20_000)
+    line.close()
+    while line._opened.process.poll() is None:
+        loop.run(loop.now() + 20_000)
+    loop.close()
+    with closing(Engine(path, "gw0")) as engine:
+        size, free = engine.size()
+        assert size < 1_000_000 and free <= size and len(state(engine)) == 1
+
+
+def test_a_file_of_the_format_before_is_read_and_goes_on(tmp_path):
+    path = tmp_path / "old.store"
+    db = sqlite3.connect(path)
+    db.executescript(
+        "PRAGMA application_id = 0x6D6D7374; PRAGMA user_version = 1;"
+        "CREATE TABLE owner (gateway TEXT NOT NULL); INSERT INTO owner VALUES ('gw0');"
+        "CREATE TABLE records (kind TEXT NOT NULL, key TEXT NOT NULL, value BLOB NOT NULL,"
+        " sum INTEGER NOT NULL, PRIMARY KEY (kind, key)) WITHOUT ROWID;"
+    )
+    db.execute("INSERT INTO records VALUES ('life', '', x'07', ?)", (zlib.crc32(b"life\0\0\x07"),))
+    db.commit()
+    db.close()
+    with closing(Engine(str(path), "gw0")) as engine:
+        assert recover(engine.rows()).life == 7
+        engine.write([kept("new", kind="intent")])
+        engine.compact()
+        assert engine._db.execute("PRAGMA user_version").fetchone() == (2,) and len(state(engine)) == 2
+
+
 def test_files_of_others_newer_ones_and_used_ones_are_left_alone(tmp_path):
     path = tmp_path / "a.store"
     engine = Engine(str(path), "gw0")
