--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -42,11 +42,12 @@
 CORES = sorted(os.sched_getaffinity(0))  # read before any process is pinned, as children inherit that
 
 
-def _pin(core: int) -> None:
+def pin(core: int) -> None:
+    """Keep this process on one core."""
     os.sched_setaffinity(0, {CORES[core % len(CORES)]})
 
 
-def _spin(loop: SelectorLoop, until: int | None = None) -> None:
+def spin(loop: SelectorLoop, until: int | None = None) -> None:
     """Turn without ever sleeping.
 
     On a virtual machine a byte sent to a sleeping core costs the sender the waking of it, over 100 us; the
@@ -57,9 +58,9 @@
         loop.turn(loop.now())
 
 
-def _host(pipe: Any) -> None:
+def host(pipe: Any) -> None:
     """Speak as a host and do nothing else: the least that a set-up can cost there."""
-    _pin(1)
+    pin(1)
     loop = SelectorLoop(lambda text: print(text, file=sys.stderr))
     load = [(LOAD, load_header({"x0": 0.1, "x1": 0.1})), ("Content-Type", "application/json")]
 
@@ -91,12 +92,12 @@
         return HttpServer(loop, "127.0.0.1", 0, handle, WIDE).port
 
     pipe.send([serve() for _ in range(8)])
-    _spin(loop)
+    spin(loop)
 
 
 def _relay(pipe: Any, hosts: list[int]) -> None:
     """Relay two exchanges on the same loop and HTTP with no decision: ask a host, pass its answer on."""
-    _pin(0)
+    pin(0)
     loop = SelectorLoop(lambda text: print(text, file=sys.stderr))
     client = HttpClient(loop, ClientLimits(idle_each=200))
     count = 0
@@ -118,7 +119,8 @@
 BODY = b"x" * 1500  # about a manifest
 
 
-def _settings(hosts: list[int], **more: Any) -> dict[str, Any]:
+def settings_of(hosts: list[int], **more: Any) -> dict[str, Any]:
+    """Give the settings of a gateway whose hosts have room for all."""
     conf = settings(Day(hosts=len(hosts), gateways=1))
     conf["fleet"].update(weight_kb=1e9, uplink_kb=1e10, kinds=[{"streams": 100_000}])
     conf["rules"].update(cold_ms=0, budget=None)
@@ -134,9 +136,9 @@
 
 
 def _gateway(pipe: Any, hosts: list[int], profile: bool) -> None:
-    _pin(0)
+    pin(0)
     loop = SelectorLoop(lambda text: print(text, file=sys.stderr))
-    gateway = Gateway(loop, parse(_settings(hosts)))
+    gateway = Gateway(loop, parse(settings_of(hosts)))
     pipe.send(gateway.dash.server.port)
     if not profile:
         settle_memory()
@@ -184,15 +186,20 @@
     return {part: own / whole for part, own in spent.items()}
 
 
-def _load(port: int, seconds: float, rate: float | None, tokens: list[str]) -> tuple[float, list[float]]:
-    """Ask for manifests: all connections busy, or open loop at a rate, timed from the wanted moment."""
+def load(
+    port: int, seconds: float, rate: float | None, tokens: list[str], first: int = 0
+) -> tuple[float, list[float]]:
+    """Ask for manifests: all connections busy, or open loop at a rate, timed from the wanted moment.
+
+    Keys are numbers from `first` on. Gives answers a second, and their times in ms, sorted.
+    """
     loop = SelectorLoop(lambda text: print(text, file=sys.stderr))
     client = HttpClient(loop, ClientLimits(idle_each=CONNECTIONS, connect_time=2 * SECOND))
     taken: list[float] = []
     good = bad = 0
     begin = loop.now()
     end = begin + int(seconds * SECOND)
-    number = 0
+    number = first
 
     def ask(wanted: int) -> None:
         nonlocal number
@@ -226,22 +233,23 @@
             ask(loop.now())
     else:
         tick(begin)
-    _spin(loop, end + SECOND // 2)
+    spin(loop, end + SECOND // 2)
     loop.close()
     if bad:
         print(f"  {bad} answers were not 200", file=sys.stderr)
     return good / seconds, sorted(taken)
 
 
-def _tokens() -> list[str]:
+def tokens_of(service: str = FREE) -> list[str]:
+    """Give access tokens of a class."""
     stage = Stage(1, settings(Day()), None)  # type: ignore[arg-type]
     stage.wall = time.time  # type: ignore[method-assign]
-    return [stage.token(f"v{n}", "brzi", FREE, 3, f"k{n}") for n in range(50)]
+    return [stage.token(f"v{n}", "brzi", service, 3, f"k{n}") for n in range(50)]
 
 
 def fresh_book() -> SessionBook:
     """Give a book with its module and 50 hosts, and no network."""
-    config = parse(_settings(list(range(9000, 9050))))
+    config = parse(settings_of(list(range(9000, 9050))))
     book = SessionBook(config.settings, Controller(config.settings, 1).handle, 10 * SECOND)
     book.start(1)
     book.take(1, msg.ListNews(api.ListKind.FULL, 1, config.entries))
@@ -274,7 +282,8 @@
     return {"sessions": float(held.held), "bytes_each": size / max(1, held.held)}
 
 
-def _start(target: Any, *args: Any) -> tuple[Any, Any]:
+def start(target: Any, *args: Any) -> tuple[Any, Any]:
+    """Start a process with one end of a pipe; give it, and the other end."""
     ours, theirs = multiprocessing.Pipe()
     process = multiprocessing.Process(target=target, args=(theirs, *args), daemon=True)
     process.start()
@@ -287,30 +296,30 @@
     arguments.add_argument("--seconds", type=float, default=4.0)
     arguments.add_argument("--rounds", type=int, default=3)
     options = arguments.parse_args()
-    tokens = _tokens()
-    _pin(2)
-    host, pipe = _start(_host)
+    tokens = tokens_of()
+    pin(2)
+    media, pipe = start(host)
     hosts = pipe.recv()
     ratios, relays, gateways = [], [], []
-    relay, relay_pipe = _start(_relay, hosts)
-    gateway, gateway_pipe = _start(_gateway, hosts, False)
+    relay, relay_pipe = start(_relay, hosts)
+    gateway, gateway_pipe = start(_gateway, hosts, False)
     relay_port, gateway_port = relay_pipe.recv(), gateway_pipe.recv()
     for _ in range(options.rounds):  # by turns, so that a noisy moment meets both
-        relays.append(_load(relay_port, options.seconds, None, tokens)[0])
-        gateways.append(_load(gateway_port, options.seconds, None, tokens)[0])
+        relays.append(load(relay_port, options.seconds, None, tokens)[0])
+        gateways.append(load(gateway_port, options.seconds, None, tokens)[0])
         ratios.append(gateways[-1] / relays[-1])
     half = sorted(gateways)[len(gateways) // 2] / 2
     gateway_pipe.send("reset")
     gateway_pipe.recv()
-    _, delays = _load(gateway_port, options.seconds, half, tokens)
+    _, delays = load(gateway_port, options.seconds, half, tokens)
     gateway_pipe.send("ask")
     longest, held = gateway_pipe.recv()
-    _, relay_delays = _load(relay_port, options.seconds, half, tokens)
-    profiled, profile_pipe = _start(_gateway, hosts, True)
+    _, relay_delays = load(relay_port, options.seconds, half, tokens)
+    profiled, profile_pipe = start(_gateway, hosts, True)
     port = profile_pipe.recv()
-    _load(port, 6.0, None, tokens)
+    load(port, 6.0, None, tokens)
     split = profile_pipe.recv()
-    for process in (host, relay, gateway, profiled):
+    for process in (media, relay, gateway, profiled):
         process.kill()
 
     def at(values: list[float], part: float) -> float:
