--- a/mintmast/decisions/sessions/book.py
+++ b/mintmast/decisions/sessions/book.py
@@ -11,7 +11,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 
 from mintmast import interface as api
@@ -21,7 +20,6 @@
 from mintmast.decisions.messages import (
     Ask,
     AskGone,
-    AskList,
     CallOff,
     Command,
     Drain,
@@ -38,7 +36,6 @@
     PollGone,
     Renewed,
     Say,
-    SendRung,
     SessionEnded,
     Settled,
     SetUpEnded,
@@ -47,6 +44,7 @@
 )
 from mintmast.decisions.outcomes import Evidence, Row
 from mintmast.decisions.sessions import moves
+from mintmast.decisions.sessions.acts import Acts
 from mintmast.decisions.sessions.asks import Asks
 from mintmast.decisions.sessions.budget import Budget
 from mintmast.decisions.sessions.ends import Ends
@@ -82,7 +80,7 @@
         members: tuple[str, ...] = (),
         catalogue: Catalogue = NO_NAMES,
     ) -> None:
-        self.settings, self._decide = settings, decide
+        self.settings = settings
         self._out: list[Command] = []
         self.sessions, self.keys = Sessions(), Keys()
         self.asks = Asks(self._emit)
@@ -95,6 +93,7 @@
         )
         self.budget = Budget(settings.budget)
         self.moves = Moves(settings, self, self.sessions, self.leases, self.ends, self.budget, self._emit)
+        self.acts = Acts(decide, self, self.sessions, self.set_ups, self.moves, self._emit)
         self.fleet = Fleet(self, self.sessions, self.leases, self.moves, self._emit)
         self.watch = self.fleet.watch
         self.recovery = Recovery(
@@ -254,56 +253,13 @@
     # The module
 
     def feed(self, now: int, event: api.Event) -> None:
-        """Hand an event to the module and carry out its actions; what they cause is handed in after."""
-        events = deque([event])
-        while events:
-            for action in self._decide(now, events.popleft()):
-                more = self._act(now, action)
-                if more is not None:
-                    events.append(more)
-
-    def _act(self, now: int, action: api.Action) -> api.Event | None:
-        match action:
-            case api.SetUp(request, server, timeout_at):
-                self._send(now, self.sessions.by_number[request], server, timeout_at)
-            case api.SetRung(request, rung):
-                session = self.sessions.get(request)
-                if session is not None:
-                    session.rung = rung
-                    if session.playing and session.server is not None:
-                        self._emit(SendRung(request, session.server, rung, session.epoch))
-            case api.Refuse(request, advice):
-                session = self.sessions.get(request)
-                if session is not None:  # what may have run is never called refused, whoever says so
-                    why = session.why or "no room"
-                    spent = session.stage is Stage.SPENT
-                    self.close(now, session, Verdict.FAILED if spent else Verdict.REFUSED, advice, why)
-            case api.Fail(request):
-                session = self.sessions.get(request)
-                if session is not None:
-                    self.close(now, session, Verdict.FAILED, reason="may have run")
-            case api.Cancel(request, attempt):
-                return self._cancel(now, request, attempt)
-            case api.Move(request):
-                return self._take_off(now, request)
-            case api.SetTimer(delay, token):
-                self._emit(Wake(now + delay, ("module", token)))
-            case api.Subscribe(on):
-                if on:
-                    self._emit(AskList(standing=True))
-            case api.FetchList():
-                self._emit(AskList())
-            case api.Probe(server):  # not offered: the settings say so, and it is answered as not sent
-                return api.ProbeResult(server, Outcome.NOT_SENT, 0)
-            case api.Log(text):
-                self._emit(Say("module", (("text", text),)))
-            case _:  # CloseIdle: connections close by themselves when idle. TellPeers: no peers yet
-                pass
-        return None
+        """Hand an event to the module and carry out its actions."""
+        self.acts.feed(now, event)
 
     # Attempts
 
-    def _send(self, now: int, session: Session, server: bytes, timeout_at: int) -> None:
+    def send(self, now: int, session: Session, server: bytes, timeout_at: int) -> None:
+        """Send a session to the host that the module has chosen."""
         if session.stage is Stage.ASKED and self.moves.hold(session.number, server, timeout_at):
             return
         if session.attempts:
@@ -316,25 +272,6 @@
         self._emit(Wake(session.deadline + BACKSTOP, ("late", session.number)))
         self.set_ups.send(now, session, server, timeout_at, moved_from)
 
-    def _cancel(self, now: int, request: int, attempt: int) -> api.Event | None:
-        session = self.sessions.get(request)
-        if session is None or not session.out or session.attempts - 1 != attempt or session.server is None:
-            return None
-        server, took = session.server, now - session.sent_at
-        self.set_ups.give_up(now, session, Signal.CALLED_OFF)
-        self.close(now, session)
-        return api.AttemptEnd(request, attempt, server, Outcome.CANCELLED, took, True)
-
-    def _take_off(self, now: int, request: int) -> api.Event | None:
-        session = self.sessions.get(request)
-        if session is None or not session.playing or session.server is None:
-            return None
-        server = session.server
-        self.set_ups.give_up(now, session, Signal.TAKEN_OFF)
-        self.close(now, session)
-        self.moves.left(now, request, moves.Signal.LEFT)
-        return api.AttemptEnd(request, session.attempts - 1, server, Outcome.CANCELLED, 0, True)
-
     def _set_up_ended(self, now: int, event: SetUpEnded) -> None:
         session = self.sessions.get(event.session)
         if event.evidence is Evidence.UNRECORDED and session is not None:
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -158,15 +158,15 @@
     sent = one(book.take(T0, ask(1, key="k")), b.SendSetUp)
     session = book.sessions.get(sent.session)
     with pytest.raises(StepError):
-        book._send(T0, session, sent.server, 0)
+        book.send(T0, session, sent.server, 0)
 
 
 def test_a_refusal_of_what_may_have_run_is_told_as_a_failure():
     """Whatever the module says: the outcome table has the last word on what is provably not run."""
     book = new_book()
     sent = one(book.take(T0, ask(1, key="k")), b.SendSetUp)
-    decide = book._decide
-    book._decide = lambda now, event: (
+    decide = book.acts._decide
+    book.acts._decide = lambda now, event: (
         [api.Refuse(sent.session, S)] if isinstance(event, api.AttemptEnd) else decide(now, event)
     )
     after = book.take(T0 + 1, b.SetUpEnded(sent.session, 0, Evidence.CUT))
