A start with many records takes the answer to its number, not the writer's word of the file's size

Observed: a start with a million records ended with 'its writer does not answer: not enough values to unpack'. Cause: open_store (store/line.py) took the next frame for the answer to the write of its number; reading took longer than the quarter of a second after which the writer, since its last change, tells the file's size. The test reads for 0.8 s and fails without the mend.

--- a/mintmast/store/line.py
+++ b/mintmast/store/line.py
@@ -74,7 +74,9 @@
         found = recover(rows)
         start = next_life(wall_ms, found.life)
         sock.sendall(framed(_batch(0, (kept(Kind.LIFE, "", start),))))
-        _, good, why = msgspec.msgpack.decode(next(_read(sock, frames)))
+        answers = (msgspec.msgpack.decode(frame) for frame in _read(sock, frames))
+        # many records take their time: a writer that waited has told the file's size meanwhile
+        _, good, why = next(told for told in answers if not isinstance(told, dict))
         if not good:
             raise StoreError(why)
     except (OSError, StopIteration, ValueError) as error:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -36,6 +36,7 @@
 from mintmast.lab.stage import MemoryStage
 from mintmast.loop.real import SelectorLoop
 from mintmast.store import Engine, StoreError, StoreLine, open_store
+from mintmast.store import line as line_module
 
 KINDS = st.sampled_from([*(kind.value for kind in Kind), "odd"])
 
@@ -220,6 +221,18 @@
     opened.process.wait()
 
 
+def test_a_start_that_reads_for_long_is_not_led_astray_by_what_the_writer_tells(tmp_path, monkeypatch):
+    def slowly(rows):
+        time.sleep(0.8)  # longer than the writer waits before it tells its size
+        return recover(rows)
+
+    monkeypatch.setattr(line_module, "recover", slowly)
+    opened = open_store(str(tmp_path / "a.store"), "gw0", 5)
+    assert opened.start == 5
+    opened.sock.close()
+    opened.process.wait()
+
+
 def test_the_line_outlives_its_writer_and_tells_what_may_be_lost(tmp_path):
     loop = SelectorLoop()
     line = StoreLine(loop, open_store(str(tmp_path / "a.store"), "gw0", 1))
