--- a/benchmarks/kept.py
+++ b/benchmarks/kept.py
@@ -139,12 +139,12 @@
     times: list[float] = []
     store.attach(lambda end: times.append(time.perf_counter() - asked.pop(end.token)), lambda *a, **k: None)
     loop.turn()
-    loop.longest_turn, first = 0, store.size[0]
+    loop.longest_turn, first = 0, Path(path).stat().st_size
     for token in range(1, 21):
         asked[token] = time.perf_counter()
         store.write(Write((_record(token),), token))
         loop.run(loop.now() + SECOND // 2)
-    told = {"given_back_mb": round((first - store.size[0]) / 1e6) if first else None}
+    told = {"given_back_mb": round((first - store.size[0]) / 1e6)}
     told |= {"longest_turn_ms": loop.longest_turn / 1000, "write_then_ms_max": round(max(times) * 1000, 1)}
     store.close()
     loop.run(loop.now() + SECOND // 10)
--- a/mintmast/gateway.py
+++ b/mintmast/gateway.py
@@ -143,9 +143,11 @@
             self.core.store = store
             store.attach(self.core.written, self.say)
         self.core.begin(None if store is None else store.kept)
-        for name, (known, forgotten) in (store.kept.members if store is not None else {}).items():
-            if forgotten and self.roster is not None:
-                self.roster.forget(name, known)
+        if store is not None:
+            for name, (known, forgotten) in store.kept.members.items():
+                if forgotten and self.roster is not None:
+                    self.roster.forget(name, known)
+            store.kept = Recovered()  # what is needed of it is held elsewhere by now
         self.say("serving", port=self.dash.server.port, start=start, hosts=len(config.entries))
 
     def _meet(self, told: dict[str, Any], start: int, seed: int) -> None:
--- a/mintmast/store/line.py
+++ b/mintmast/store/line.py
@@ -5,7 +5,7 @@
 import socket
 import subprocess
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 import msgspec
@@ -60,18 +60,23 @@
     """Open a store, read it, and write the number of this start. Raises StoreError."""
     sock, process = _spawn(path, gateway)
     sock.settimeout(OPEN_TIME)
-    frames, rows, moved = Frames(), [], ""
-    try:
+    frames, moved = Frames(), ""
+
+    def rows() -> Iterator[Kept]:  # as they come: a million at once would be as much memory again
+        nonlocal moved
         for frame in _read(sock, frames):
             told = msgspec.msgpack.decode(frame)
             if isinstance(told, list):
-                rows += [Kept(*row) for row in told]
+                yield from (Kept(*row) for row in told)
             elif isinstance(told, str) and told.startswith("!"):
                 raise StoreError(told[1:])
             else:
                 moved = told if isinstance(told, str) else ""
-                break
-        found = recover(rows)
+                return
+        raise ValueError("it ended in the middle")
+
+    try:
+        found = recover(rows())
         start = next_life(wall_ms, found.life)
         sock.sendall(framed(_batch(0, (kept(Kind.LIFE, "", start),))))
         answers = (msgspec.msgpack.decode(frame) for frame in _read(sock, frames))
@@ -107,6 +112,7 @@
     def __init__(self, loop: SelectorLoop, opened: Opened) -> None:
         self._loop, self._opened = loop, opened
         self.start, self.kept = opened.start, opened.kept
+        opened.kept = Recovered()  # whoever begins with it holds what is needed of it
         self._written: Callable[[Written], None] = lambda event: None
         self._say: Callable[..., None] = lambda event, **fields: None
         self._waiting: dict[int, None] = {}
