--- a/mintmast/lab/drills/kill.py
+++ b/mintmast/lab/drills/kill.py
@@ -68,6 +68,11 @@
     stage.flush = 20_000, 150_000
 
 
+def _stuck(stage: Any, day: Day) -> None:
+    """Let each flush take 2 s, longer than a vote may and as long as a paid viewer waits."""
+    stage.flush = 2_000_000, 2_000_000
+
+
 _DAY = Day(rate=14.0, load_s=14.0, whole_s=34.0, uplink_kb=1200.0)
 # clips that outlast a lease several times over, and links with room: what a death cuts off is seen
 _LONG = replace(_DAY, shortest=20.0, rate=5.0, whole_s=60.0)
@@ -75,6 +80,7 @@
     "kill": Drill(partial(kill, 2), _DAY, load=Roamers, stores=True),
     "kill-one": Drill(partial(kill, 1), _DAY, load=Roamers, stores=True),
     "kill-slow": Drill(partial(kill, 3), _DAY, _slow, Roamers, stores=True),
+    "kill-stuck": Drill(partial(kill, 1), _DAY, _stuck, Roamers, stores=True),
     "kill-all": Drill(partial(kill, 3), _DAY, load=Roamers, stores=True),
     "kill-all-bare": Drill(partial(kill, 3), _DAY, load=Roamers),
     "kill-lone": Drill(partial(kill, 1), replace(_DAY, gateways=1), load=Roamers, stores=True),
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -372,7 +372,7 @@
 # Deaths
 
 
-@pytest.mark.parametrize("name", ["kill-one", "kill", "kill-all", "kill-slow"])
+@pytest.mark.parametrize("name", ["kill-one", "kill", "kill-all", "kill-slow", "kill-stuck"])
 def test_deaths_of_any_number_charge_nobody_twice(name):
     report = drills.run(name, 501, "memory")
     assert report["good"], report["rules"]
