--- a/mintmast/lab/drills/frame.py
+++ b/mintmast/lab/drills/frame.py
@@ -11,7 +11,7 @@
 
 from mintmast.decisions.sessions.moves import END_QUICK
 from mintmast.lab.audit import Findings, Terms, audit, membership, moves, worth
-from mintmast.lab.drills import bad_day, drain, files, kill, members, registry, roaming
+from mintmast.lab.drills import bad_day, drain, files, kill, members, power, registry, roaming
 from mintmast.lab.drills.day import Day, Drill, model, settings
 from mintmast.lab.drills.viewers import Viewers
 from mintmast.lab.loopback import LoopbackStage
@@ -26,7 +26,7 @@
 # gateways that are asked so often; more are asked less often, as each tells of all
 FEW = 20
 DRILLS: dict[str, Drill] = {}
-for _family in (registry, files, bad_day, drain, roaming, members, kill):
+for _family in (registry, files, bad_day, drain, roaming, members, kill, power):
     DRILLS.update(_family.DRILLS)
 
 
@@ -86,6 +86,7 @@
         found = audit(stage.rows, terms(stage, conf))
         viewers.measures.update(moves(stage.rows, found))
         viewers.measures.update(_emptied(stage.rows))
+        viewers.measures.update(power.measure(stage.rows))
         if "list" in stage.settings:
             viewers.measures.update(membership(stage.rows, found, terms(stage, conf)))
         if drill.links:
--- a/mintmast/lab/drills/kill.py
+++ b/mintmast/lab/drills/kill.py
@@ -30,7 +30,8 @@
     stage.loop.call_at(stage.now() + int(back * 1e6), stage.start_host, number, True)
 
 
-def _votes(stage: Any, day: Day) -> None:
+def tell_votes(stage: Any, day: Day) -> None:
+    """Keep in the record which gateways vote."""
     for number in range(day.gateways):
         stage.record("votes", gateway=f"gw{number}", votes=stage.votes(number))
 
@@ -60,7 +61,7 @@
         stage.at(begin, faulty, stage, number, 0.3)
         stage.at(begin + 5, faulty, stage, number, 0.0)
     if day.gateways > 1:
-        stage.at(day.whole_s - 0.5, _votes, stage, day)
+        stage.at(day.whole_s - 0.5, tell_votes, stage, day)
 
 
 def _slow(stage: Any, day: Day) -> None:
