A start with records hears all witnesses in reach before it votes by them

A life that only one other gateway had met was not found out: one answer of another was enough, and a backup put back voted on keys that the later life had granted. covers.py, Covers.ready and voting: all of a key's other witnesses that are not out must have told that they know of no later life.

--- a/mintmast/decisions/gateways/covers.py
+++ b/mintmast/decisions/gateways/covers.py
@@ -117,10 +117,19 @@
 
     def ready(self, others: tuple[str, ...]) -> bool:
         """Tell whether this gateway may vote on keys that it witnesses together with these."""
-        if self._life is not None and others and not any(self.others[each].met for each in others):
-            return False
+        if self._life is not None and others:
+            if not self._met([self.others[each] for each in others]):
+                return False
         return self.begun and (self._all or all(self._accounted(each, others) for each in others))
 
+    @staticmethod
+    def _met(others: list[_Other]) -> bool:
+        """Tell whether these say that the records are the last; one is enough where the rest is out.
+
+        Danger: any of them may be the one that met a later life, as when a backup was put back.
+        """
+        return any(each.met for each in others) and all(each.met or each.out for each in others)
+
     def restore(self, life: int, aside: dict[str, frozenset[str]]) -> None:
         """Start from whole records: the last start in them, and who was held aside towards whom."""
         self._life, self._all, self.begun = life, True, True
@@ -155,7 +164,7 @@
         if not self._voting:
             told = self._all or any(self._whole(each, ()) for each in self.others)
             if self._life is not None and self.others:
-                self._voting = any(other.met for other in self.others.values())
+                self._voting = self._met(list(self.others.values()))
                 return self._voting
             self._voting = self.begun and told and next(self._waits(), None) is None
         return self._voting
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -357,6 +357,20 @@
     assert next(each for each in out if isinstance(each, talk.PeerReply)).vote is Vote.NONE
 
 
+def test_a_later_life_that_one_other_gateway_met_is_heard_of_before_any_vote():
+    part, out = witness_of()
+    answers(part, out)
+    rows = [Kept("life", "", b"\x32"), *rows_of(out)]
+    old, out = witness_of(rows, start=70)  # a backup: a life of number 60 was met by g2 alone
+    asks = {each.peer: each for each in out if isinstance(each, talk.SendLearn)}
+    old.learnt(0, talk.Learnt("g1", number=asks["g1"].number, start=5))
+    old.called(0, talk.PeerCall(1, "g1/5", "key", 1, 3600 * SECOND))
+    assert next(each for each in out if isinstance(each, talk.PeerReply)).vote is Vote.NONE
+    assert not old.voting
+    old.learnt(0, talk.Learnt("g2", number=asks["g2"].number, start=5, before=60))
+    assert any(getattr(each, "event", "") == "records_old" for each in out)
+
+
 def test_a_record_is_kept_for_as_long_as_gateways_of_its_name_ran():
     hour = 3600 * SECOND
     part, out = witness_of()
