Read again: releases go to the witnesses that were asked, one reading of what is open at a host

A given-up claim hashed all members once more to find the witnesses whose votes it holds; with 200 gateways that is 200 hashes a claim. The recovery listed a host's open sessions in two ways, the stand-in had one condition for two matters, and the drill's report went over all rows three times.

--- a/mintmast/decisions/gateways/claims.py
+++ b/mintmast/decisions/gateways/claims.py
@@ -17,7 +17,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from itertools import combinations
@@ -238,10 +238,10 @@
         """Release a try at all its witnesses, those too that have not voted."""
         self._by_number.pop(claim.number, None)
         self._owned.pop(claim.digest, None)
-        self._release(now, claim.digest, self._owner, claim.number)
+        self._release(now, claim.digest, self._owner, claim.number, claim.votes)
 
-    def _release(self, now: int, digest: str, owner: str, number: int) -> None:
-        for each in witnesses_of(digest, self._members):
+    def _release(self, now: int, digest: str, owner: str, number: int, witnesses: Iterable[str]) -> None:
+        for each in witnesses:
             if each == self._gateway:
                 self.part.release(now, digest, owner, number)
             else:
@@ -265,7 +265,7 @@
         """Release what an earlier life owned, as its session provably never ran."""
         owner, number, _ = self._owned.pop(digest, ("", 0, 0))
         if owner:
-            self._release(now, digest, owner, number)
+            self._release(now, digest, owner, number, witnesses_of(digest, self._members))
 
     def _own(self, now: int) -> dict[str, Known]:
         """Give the keys that this gateway owns."""
--- a/mintmast/decisions/sessions/recovery.py
+++ b/mintmast/decisions/sessions/recovery.py
@@ -145,11 +145,7 @@
             self._ask(now, self._waiting.popleft())
 
     def _ask(self, now: int, server: bytes) -> None:
-        here = [
-            each
-            for number, (_, intent) in self._open.items()
-            if intent.server.encode() == server and (each := self._sessions.get(number)) is not None
-        ][:SETTLED_AT_ONCE]
+        here = self._at(server)[:SETTLED_AT_ONCE]
         if not here:
             return
         number, clock = self._leases.ask(now, server, here)
@@ -157,6 +153,11 @@
         told = tuple((each.number, each.epoch) for each in here)
         self._emit(SendSettle(server, told, now + AGAIN, number, clock, self._leases.length))
 
+    def _at(self, server: bytes) -> list[Session]:
+        """Give what is not settled at a host."""
+        found = (self._sessions.by_number[number] for number in self._open)
+        return [each for each in found if each.server == server]
+
     def settled(self, now: int, event: Settled) -> None:
         """Take a host's answer, or that there was none."""
         if self._asked.get(event.server) != event.number:
@@ -166,12 +167,10 @@
         for number, word, rung in event.words:
             if number in self._open:
                 self._settle(now, number, word, event.since, rung)
-        rest = [number for number, (_, i) in self._open.items() if i.server.encode() == event.server]
-        for number in rest:
-            session = self._sessions.by_number[number]
+        for session in self._at(event.server):
             if session.lease is not None and now >= session.lease.over_at:
-                self._conclude(now, number, Fate.UNKNOWN)
-        if any(number in self._open for number in rest):
+                self._conclude(now, session.number, Fate.UNKNOWN)
+        if self._at(event.server):
             self._emit(Wake(now + AGAIN, ("settle", event.server)))
         self.go_on(now)
 
--- a/mintmast/lab/drills/frame.py
+++ b/mintmast/lab/drills/frame.py
@@ -146,10 +146,10 @@
     measures["set_ups"] = seen.get("set_up_came", 0)
     measures["ran"] = seen.get("ran", 0)
     measures["answers_lost"] = seen.get("answer_lost", 0) + seen.get("answer_cut", 0)
-    for state in ("plays", "ran", "not here"):
-        told = sum(row["what"] == "settled" and row["state"] == state for row in stage.rows)
-        if stage.stores:
-            measures[f"settled_{state.replace(' ', '_')}"] = told
+    if stage.stores:
+        told = [row["state"] for row in stage.rows if row["what"] == "settled"]
+        for state in ("plays", "ran", "not here"):
+            measures[f"settled_{state.replace(' ', '_')}"] = told.count(state)
     measures["errors"] = seen.get("error", 0)
     measures["viewers_unfinished"] = viewers.open
     held = sum(len(host.sessions) for host in stage.hosts.values() if host.alive)
--- a/mintmast/lab/standin.py
+++ b/mintmast/lab/standin.py
@@ -239,8 +239,10 @@
         until = (clock if clock >= 0 else self.loop.now()) + lease
         for name, told in sessions.items() if isinstance(sessions, dict) else ():
             held = self.sessions.get(name)
-            other = body.get("who", held.who if held else "") != (held.who if held else "")
-            if held is None or held.epoch != told["epoch"] or self.loop.now() >= held.until or other:
+            if held is None or held.epoch != told["epoch"] or self.loop.now() >= held.until:
+                unknown.append(name)
+                continue
+            if body.get("who", held.who) != held.who:  # a later life holds it
                 unknown.append(name)
                 continue
             if call <= held.call:  # worked off after a later one
