Slow start holds over restarts of gateways and over set-ups that leave late

What was seen: modules of 2, 20 and 30 gateways against one count (tests/test_slow_start.py), 400 requests a second on one host that starts cold. Steady, and with gateways that hear late, the sum stays 12 under N + 2 roots of N + 2. With seven in ten gateways restarted inside the window it was 2 to 4 over, with connections that come up 250 ms late in every other 0.8 s up to 9 over. Lines at fault: _Server.sent is empty after a start, and _cold_pace counts from the decision, not from when the set-up leaves. Now a host listed as started before this process is left alone until what the last life may have sent is past (window, connect time of the settings, a second where sessions were handed over), and over window and connect time together parts are dealt out of N + 2 roots of N only.

--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -55,6 +55,8 @@
 UPLINK_DOWN, UPLINK_UP, UPLINK_TRIED, UPLINK_WAIT = 0.3, 0.01, 0.85, 5 * SECOND
 UPLINK_LEAST, UPLINK_MOST = 0.6, 1.4
 DEAD_BELOW = 0.1  # delivered share under which a server stands still: smaller rungs would not help
+# µs in which the process of the same name that was told to end may still send, after this one has started
+OVERLAP = SECOND
 DEMAND_MEMORY = 4 * SECOND  # µs; broken sessions count as demand so long: most viewers are back by then
 SURVEY_AGE = SECOND // 4  # µs; sums over the fleet and the price of room are worked out anew so often
 
@@ -622,17 +624,34 @@
         order that starts elsewhere at each server; each keeps to its part in every window, so all together
         do. Holds for restarts, successors, unlisted returns after a broken connection and this gateway's
         own restart. May hurt: a reset that was no restart slows a warm server.
+
+        What left late for want of a connection comes with what is sent a window later: over both times
+        together, parts of the spread are dealt out too that the platform bears in a window (two roots).
+        And this gateway's last life may have sent its part: a server listed as started before this life is
+        left alone until that is past. May hurt: a fleet restarted at once leaves cold servers idle so long.
         """
         s = self.settings
-        while server.sent and server.sent[0] <= now - s.fall:
+        reach, start = s.fall + s.connect_time, server.entry.started
+        while server.sent and server.sent[0] <= now - reach:
             server.sent.popleft()
         age = now - self._warm_from(server, now)
         if age >= s.cold:
             return True
-        warmth = self._warm(age - s.fall)  # as it was when the window began
-        budget = int(s.fall_multiple * self._streams(server) / s.cold * warmth * s.fall)
+        if start and now - start < s.cold:
+            overlap = OVERLAP if self.handed_over else 0  # after a crash no other process of its name is left
+            if start < self.started + overlap and now - self.started < reach + overlap:
+                return False
+        warmth = self._warm(age - reach)  # as it was when the window began
+        budget = s.fall_multiple * self._streams(server) / s.cold * warmth * s.fall
+        last = sum(1 for at in server.sent if at > now - s.fall)
+        both = self._part(server, budget + 2 * math.sqrt(budget))
+        return last < self._part(server, budget) and len(server.sent) < both
+
+    def _part(self, server: _Server, budget: float) -> int:
+        """Give this gateway's part of the whole set-ups in a server's budget."""
+        s = self.settings
         rank = (s.instance - int.from_bytes(server.entry.server)) % s.instances
-        return len(server.sent) < (budget + s.instances - 1 - rank) // s.instances
+        return (int(budget) + s.instances - 1 - rank) // s.instances
 
     def _judge(self, now: int, server: _Server, event: api.AttemptEnd) -> None:
         """Learn of a server's health from how an attempt ended.
--- a/mintmast/interface.py
+++ b/mintmast/interface.py
@@ -132,6 +132,7 @@
     move_cost: float = 0.0
     handshake_cost: float = 0.0
     line_idle: int = 0
+    connect_time: int = 0  # µs that a set-up may wait for its connection
 
 
 @dataclass(slots=True, frozen=True)
--- a/mintmast/wire.py
+++ b/mintmast/wire.py
@@ -380,4 +380,5 @@
         move_cost=_number(costs.get("moves", 0)),
         handshake_cost=_number(costs.get("handshake", 0)),
         line_idle=int(caps.get("idleClose", 0)) // 2,
+        connect_time=int(caps.get("connectTimeout", 0)),
     )
