--- a/benchmarks/platform.py
+++ b/benchmarks/platform.py
@@ -33,7 +33,7 @@
     budget=None, max_attempts=5, max_retry_after=500_000, may_advise=True, may_cancel=True,
     must_subscribe=False, load_fields=("x0",),
 )  # fmt: skip
-TERMS = asking.Terms({"paid": 0, "free": 1}, (3 * SECOND, 5 * SECOND), {"acme": 0})
+TERMS = asking.Terms({b"paid": 0, b"free": 1}, (3 * SECOND, 5 * SECOND), {b"acme": 0})
 DESCRIPTION = b"v=0\r\nc=IN IP4 10.66.166.244\r\nm=audio 42668 RTP/AVP 0 8 106\r\n"
 
 
--- a/mintmast/signalling/asking.py
+++ b/mintmast/signalling/asking.py
@@ -19,11 +19,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Terms:
-    """What set-ups may name: classes with the longest patience of each (µs), tenants."""
+    """What set-ups may name: classes with the longest patience of each (µs), tenants.
 
-    classes: dict[str, int]
+    Names are compared as bytes: they come from the settings, which may use any letters.
+    """
+
+    classes: dict[bytes, int]
     patience: tuple[int, ...]
-    tenants: dict[str, int]
+    tenants: dict[bytes, int]
 
 
 @dataclass(slots=True, frozen=True)
@@ -38,7 +41,7 @@
     """Read a set-up, or give the cause to release it with."""
     if message.fault is not None:
         return message.fault
-    service = terms.classes.get(message.text(Param.CLASS) or "")
+    service = terms.classes.get(message.params.get(Param.CLASS, b""))
     title = message.text(Param.TITLE) or ""
     figures = _figures(message.text(Param.FIGURES))
     if not _ALWAYS <= message.params.keys() or message.call == _NO_CALL:
@@ -49,7 +52,7 @@
     if terms.tenants:
         if Param.TENANT not in message.params:
             return Cause.MANDATORY_ELEMENT_MISSING
-        named = terms.tenants.get(message.text(Param.TENANT) or "")
+        named = terms.tenants.get(message.params[Param.TENANT])
         if named is None:
             return Cause.INVALID_ELEMENT_CONTENTS
         tenant = named
@@ -123,7 +126,7 @@
 
 def number_of(text: str) -> float | None:
     """Read a finite number of at most 32 characters; None where it is none."""
-    if len(text) > 32 or "_" in text:
+    if len(text) > 32 or "_" in text or not text.isascii():
         return None
     try:
         number = float(text)
--- a/mintmast/signalling/messages.py
+++ b/mintmast/signalling/messages.py
@@ -87,12 +87,13 @@
         return value[0] if value is not None and len(value) == 1 else None
 
     def text(self, param: Param) -> str | None:
-        """Give a parameter as text; None where it is absent or not of printable ASCII."""
+        """Give a parameter as text; None where it is absent or not printable UTF-8."""
         value = self.params.get(param)
-        if value is None or not value.isascii():
+        try:
+            text = value.decode() if value is not None else ""
+        except UnicodeDecodeError:
             return None
-        text = value.decode("ascii")
-        return text if text.isprintable() else None
+        return text if value is not None and text.isprintable() else None
 
 
 def encode(kind: Kind, call: bytes, params: Iterable[tuple[Param, bytes]] = ()) -> bytes:
--- a/mintmast/signalling/node.py
+++ b/mintmast/signalling/node.py
@@ -156,9 +156,9 @@
         room = int(config.limits.memory_mb * (1 << 20) * SET_UPS_PART)
         self.hosts = MediaHosts(loop, self, HostLimits(caps.connectTimeout, caps.idleClose, hosts))
         terms = Terms(
-            {each.name: place for place, each in enumerate(names.services)},
+            {each.name.encode(): place for place, each in enumerate(names.services)},
             tuple(each.deadline for each in settings.classes),
-            {each.name: place for place, each in enumerate(names.accounts)},
+            {each.name.encode(): place for place, each in enumerate(names.accounts)},
         )
         self.viewers = Viewers(loop, self, terms, viewers, room, say)
         self._carry(self.calls.start(loop.now()))
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -15,7 +15,7 @@
     st.binary(min_size=8, max_size=8),
     st.dictionaries(st.sampled_from(list(Param)), st.binary(max_size=40), max_size=6),
 )
-TERMS = asking.Terms({"paid": 0, "free": 1}, (3_000_000, 5_000_000), {"acme": 0})
+TERMS = asking.Terms({b"paid": 0, b"free": 1}, (3_000_000, 5_000_000), {b"acme": 0})
 
 
 @settings(max_examples=300, deadline=None)
