--- a/benchmarks/drain.py
+++ b/benchmarks/drain.py
@@ -43,7 +43,7 @@
     stage.run(13.5)
 
     def begin(number: int) -> None:
-        token = stage.token(f"v{number}", "brzi", FREE, 1, f"k{number}")
+        token = stage.token(f"v{number}", "north-tv", FREE, 1, f"k{number}")
         url = f"{stage.gateway_url(0)}/dash/gate-{number % 12}/manifest.mpd"
         headers = [("Authorization", f"Bearer {token}")]
         Player(stage.viewers, stage.client, url, headers, 5 * SECOND, reports.append)
--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -244,7 +244,7 @@
     """Give access tokens of a class."""
     stage = Stage(1, settings(Day()), None)  # type: ignore[arg-type]
     stage.wall = time.time  # type: ignore[method-assign]
-    return [stage.token(f"v{n}", "brzi", service, 3, f"k{n}") for n in range(50)]
+    return [stage.token(f"v{n}", "north-tv", service, 3, f"k{n}") for n in range(50)]
 
 
 def fresh_book() -> SessionBook:
@@ -258,7 +258,7 @@
 
 def set_up(book: SessionBook, now: int, number: int) -> list[msg.SendSetUp]:
     """Let a viewer ask and his session start; give the set-ups sent."""
-    key = f"brzi/viewer-{number}/{FREE}/gate-{number % 12}/wish-{number}"
+    key = f"north-tv/viewer-{number}/{FREE}/gate-{number % 12}/wish-{number}"
     ask = msg.Ask(number, 1, 0, number % 12, number % 8, 4, 3, 3 * SECOND, key, 500 * SECOND)
     sent = [each for each in book.take(now, ask) if isinstance(each, msg.SendSetUp)]
     for command in sent:
--- a/benchmarks/kept.py
+++ b/benchmarks/kept.py
@@ -91,9 +91,9 @@
         grant = Grant("gw1/18bcfe56800", number, 10**15)
         return Kept(Kind.GRANT.value, f"{number:032x}", msgspec.msgpack.encode(grant))
     where = "10.0.0.1:9000", 5, 123_456_789, 2
-    about = f"brzi/viewer-{number}/billed-route/gate-1/wish", f"gw0-18bcfe56800-{number}", *where
+    about = f"north-tv/viewer-{number}/paid-film/gate-1/wish", f"gw0-18bcfe56800-{number}", *where
     intent = Intent(
-        10**15, *about, "billed-route", "brzi", "gate-1", 3, 9, 0, 4, False, "gw0/1", number, True
+        10**15, *about, "paid-film", "north-tv", "gate-1", 3, 9, 0, 4, False, "gw0/1", number, True
     )
     return Kept(Kind.INTENT.value, f"{number:032x}", msgspec.msgpack.encode(intent))
 
--- a/mintmast/cli/demo.py
+++ b/mintmast/cli/demo.py
@@ -32,7 +32,7 @@
 
         def begin() -> None:
             for service in (PAID, FREE):
-                token = stage.token(f"driver-{service}", "brzi", service, 3, f"demo-{service}")
+                token = stage.token(f"driver-{service}", "north-tv", service, 3, f"demo-{service}")
                 url = f"{stage.gateway_url(0)}/dash/gate-2/manifest.mpd"
                 headers = [("Authorization", f"Bearer {token}")]
                 over = partial(done, service)
--- a/mintmast/lab/drills/day.py
+++ b/mintmast/lab/drills/day.py
@@ -8,7 +8,7 @@
 
 from mintmast.lab.hostmodel import HostModel
 
-PAID, FREE = "billed-route", "entrance-preview"
+PAID, FREE = "paid-film", "free-trailer"
 LADDER = [(4.0, 0.25), (8.0, 0.55), (16.0, 0.8), (32.0, 1.0)]
 # s; how often a viewer comes again after a refusal or a broken connection
 TRIES = 4
@@ -86,7 +86,7 @@
     }
     return {
         "instances": day.gateways,
-        "zones": ["hall-a", "hall-b"],
+        "zones": ["room-a", "room-b"],
         "classes": [
             {
                 "name": PAID, "effect": "single_shot", "aim_ms": 1000, "deadline_ms": 2000, "worth": 3,
@@ -95,8 +95,8 @@
             {"name": FREE, "effect": "free", "aim_ms": 800, "deadline_ms": 3000, "worth": 1, "scale": 0.7},
         ],
         "tenants": [
-            {"name": "brzi", "quota_per_s": 100, "share": 0.67},
-            {"name": "otok", "quota_per_s": 50, "share": 0.33},
+            {"name": "north-tv", "quota_per_s": 100, "share": 0.67},
+            {"name": "island-tv", "quota_per_s": 50, "share": 0.33},
         ],
         "ladder": [{"kb": kb, "worth": value} for kb, value in LADDER],
         "fleet": {
--- a/mintmast/lab/drills/viewers.py
+++ b/mintmast/lab/drills/viewers.py
@@ -36,7 +36,7 @@
         return {
             "service": PAID if paid else FREE,
             "title": f"gate-{min(most, int(self.day.titles * draw() ** 1.7))}",
-            "tenant": "brzi" if draw() < 0.67 else "otok",
+            "tenant": "north-tv" if draw() < 0.67 else "island-tv",
             "rung": 3 if draw() < 0.8 else 1,
             "gateways": [self.random.randrange(self.day.gateways) for _ in range(TRIES)],
             "leaves": draw() * 0.03 if draw() < 0.05 else None,
--- a/mintmast/wire.py
+++ b/mintmast/wire.py
@@ -238,6 +238,10 @@
 _TEXT = struct.Struct(">HIH")
 _MEMO = struct.Struct(">HIIH")
 ALL_PEERS = 0xFFFFFFFF
+# no time (µs), count or factor of a deployment is larger: more than a year
+MOST = 1e14
+# cells and racks that a list can name: 16 bits
+MOST_PLACES = 1 << 16
 
 
 def _pack_log(i: int, action: api.Log) -> bytes:
@@ -331,6 +335,12 @@
     )
     if not classes or not all(0 <= each.floor < len(ladder) and each.scale > 0 for each in classes):
         raise ValueError("no class, a floor off the ladder, or a scale not above 0")
+    told_pace = [rules.get(name, 0) for name in ("cold", "fall", "overloadFactor")]
+    told_pace += family.get("kindSlots", ())
+    if not all(0 <= _number(each) <= MOST for each in told_pace) or not 0 <= rules.get("coldFrom", 1) <= 1:
+        raise ValueError("a cold server's pace or the streams of a kind are below 0 or beyond reason")
+    if max(int(family.get("cells", 0)), int(family.get("racks", 1))) > MOST_PLACES:
+        raise ValueError(f"more than {MOST_PLACES} cells or racks")
     span = int(rules.get("ratioSpan", 0))
     budget = (
         api.AttemptBudget(span, _number(rules.get("extraFree", 0)), _number(rules.get("resendRatio", 0)))
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -548,7 +548,7 @@
     small = Small(gateways=3)
     first = small.manifest(PAID, key="k")[0]
     small.run(1)
-    token = small.stage.token("viewer", "brzi", PAID, 3, "k")
+    token = small.stage.token("viewer", "north-tv", PAID, 3, "k")
     headers = [("Authorization", f"Bearer {token}")]
     second = small.get("/dash/gate-1/manifest.mpd", headers, gateway=1)[0]
     small.run(1)
@@ -561,7 +561,7 @@
     for host in small.stage.hosts.values():
         host.drain(False)
     small.run(1)
-    token = small.stage.token("viewer", "brzi", PAID, 3, "other")
+    token = small.stage.token("viewer", "north-tv", PAID, 3, "other")
     headers = [("Authorization", f"Bearer {token}")]
     served = small.get("/dash/gate-1/manifest.mpd", headers, gateway=2)[0]
     small.run(1)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -48,7 +48,7 @@
         (("servers", 1, "cell"), 99, ["servers/1/cell", "99", "8"]),
         (("servers", 1, "kind"), 3, ["servers/1/kind", "fleet.kinds"]),
         (("instance",), 5, ["instance", "5", "3"]),
-        (("classes", 1, "name"), "billed-route", ["classes", "twice"]),
+        (("classes", 1, "name"), "paid-film", ["classes", "twice"]),
         (("limits", "answer_margin_ms"), 2500, ["deadline_ms", "2000", "margin"]),
     ],
 )
--- a/tests/test_dash.py
+++ b/tests/test_dash.py
@@ -62,7 +62,7 @@
 
     small = Small(hosts=2, change=live)
     reports = []
-    headers = [("Authorization", f"Bearer {small.stage.token('viewer', 'brzi', FREE, 3, 'k')}")]
+    headers = [("Authorization", f"Bearer {small.stage.token('viewer', 'north-tv', FREE, 3, 'k')}")]
     url = "http://gw0:8080/dash/gate-1/manifest.mpd"
     begun = small.stage.now()
     Player(small.stage.viewers, small.stage.client, url, headers, 3 * SECOND, reports.append, most=20.0)
@@ -110,7 +110,7 @@
 def test_access_tokens_are_checked_claim_by_claim(claims, status):
     small = Small(hosts=2)
     base = {
-        "aud": "mintmast", "sub": "v", "tenant": "brzi", "class": FREE, "exp": 1_800_009_999,
+        "aud": "mintmast", "sub": "v", "tenant": "north-tv", "class": FREE, "exp": 1_800_009_999,
         "title": "gate-1",
     }  # fmt: skip
     key = Keys([ACCESS]).keys["viewers-1"][0].key
@@ -163,7 +163,7 @@
         small.run(1)
         assert (target[:40], replies[0].status) == (target[:40], status)
         assert problem(replies[0])["status"] == status
-    token = small.stage.token("v", "brzi", FREE, 3, "k")
+    token = small.stage.token("v", "north-tv", FREE, 3, "k")
     replies, _ = small.get("/dash/gate-1/manifest.mpd", [("Authorization", f"Bearer {token}")], method="HEAD")
     small.run(1)
     assert replies[0].status == 200 and replies[0].body == b"" and not small.seen("set_up_came")
@@ -285,7 +285,7 @@
 def test_the_end_of_a_clip_is_no_stall_however_late_its_timer_comes():
     """A real loop's timers come a millisecond or more late; a viewer at the clip's end sees nothing of it."""
     small = Small(hosts=2)
-    reports, token = [], small.stage.token("viewer", "brzi", FREE, 3, "k")
+    reports, token = [], small.stage.token("viewer", "north-tv", FREE, 3, "k")
     real = small.stage.viewers.call_at
     small.stage.viewers.call_at = lambda at, do, *args: real(
         at + 5000 * (do.__name__ == "_played"), do, *args
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -194,7 +194,7 @@
 
 def watch(small, kind, title="gate-1"):
     reports = []
-    token = small.stage.token(f"viewer-{kind}", "brzi", kind, 3, f"k-{kind}")
+    token = small.stage.token(f"viewer-{kind}", "north-tv", kind, 3, f"k-{kind}")
     url = f"http://gw0:8080/dash/{title}/manifest.mpd"
     headers = [("Authorization", f"Bearer {token}")]
     Player(small.stage.viewers, small.stage.client, url, headers, 3 * SECOND, reports.append)
--- a/tests/world.py
+++ b/tests/world.py
@@ -47,7 +47,7 @@
 
     def manifest(self, service=FREE, title="gate-1", key="k", headers=(), rung=3, wait=10.0, **more):
         """Ask for a title's manifest as a viewer."""
-        token = self.stage.token("viewer", "brzi", service, rung, key, **more)
+        token = self.stage.token("viewer", "north-tv", service, rung, key, **more)
         bearer = ("Authorization", f"Bearer {token}")
         return self.get(f"/dash/{title}/manifest.mpd", [bearer, *headers], wait=wait)
 
