--- a/mintmast/signalling/changelog.py
+++ b/mintmast/signalling/changelog.py
@@ -38,6 +38,7 @@
         self._call: Call | None = None
         self._reader = EventReader(self._event, MOST_EVENT)
         self._fails = self._heard = 0
+        self._version = -1  # the highest of the list that was heard
         self._gap: int | None = None
         self._timer: Timer | None = loop.call_soon(self._ask)
 
@@ -53,8 +54,20 @@
     def event(self, event: dict[str, Any]) -> None:
         """Take one event, wherever it was heard."""
         seq = event.get("seq")
-        if not isinstance(seq, int) or isinstance(seq, bool) or seq <= self.seq:
+        if not isinstance(seq, int) or isinstance(seq, bool):
             return
+        fleet = event.get("fleet")
+        told = fleet if isinstance(fleet, dict) else {}
+        version = told.get("version")
+        if seq <= self.seq:
+            # Danger: a log that lost its numbers would be passed over until it has caught up, and the list be
+            # stale for as long. A whole list of a version not heard yet shows it; a repeat has an old one.
+            newer = isinstance(version, int) and version > self._version
+            if not (newer and told.get("full") is True):
+                return
+            self._say("changelog", state="numbers start again", seq=self.seq, told=seq)
+        if isinstance(version, int):
+            self._version = max(self._version, version)
         self.seq = seq
         self._take(event)
 
--- a/mintmast/signalling/node.py
+++ b/mintmast/signalling/node.py
@@ -357,15 +357,6 @@
     """Run until SIGTERM has done its work. Gives the exit code: 2 for a bad configuration."""
     say = line_writer(sys.stderr, time.time, MOST_LINES, gateway=os.environ.get("NODE_NAME", ""))
     loop = SelectorLoop(lambda text: say("error", text=text))
-    try:
-        config = read_config(path)
-        most = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-        if most != resource.RLIM_INFINITY:
-            config.limits.sockets = min(config.limits.sockets, most)
-        node = Node(loop, config, say)
-    except (ConfigError, wire.WireError, msgspec.MsgspecError, OSError) as error:
-        print(f"mintmast: {error}", file=sys.stderr)
-        return 2
 
     def reload() -> None:
         try:
@@ -375,8 +366,19 @@
             if error.again:
                 loop.call_at(loop.now() + READ_AGAIN, reload)
 
+    # before the configuration is read: a new one, or the end, may be told meanwhile
     loop.on_signal(reload, signal.SIGHUP)
-    loop.on_signal(node.stop, signal.SIGTERM, signal.SIGINT)
+    loop.on_signal(lambda: node.stop(), signal.SIGTERM, signal.SIGINT)
+    try:
+        config = read_config(path)
+        most = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        if most != resource.RLIM_INFINITY:
+            config.limits.sockets = min(config.limits.sockets, most)
+        node = Node(loop, config, say)
+    except (ConfigError, wire.WireError, msgspec.MsgspecError, OSError) as error:
+        print(f"mintmast: {error}", file=sys.stderr)
+        return 2
+
     node.on_stopped = loop.stop
     settle_memory()
     say("serving", hosts=len(node._entries), seq=node.changelog.seq)
--- a/mintmast/signalling/viewers.py
+++ b/mintmast/signalling/viewers.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from mintmast.loop import Close, Handler, Limits, Loop, Stream
+from mintmast.loop import Close, Handler, Limits, Loop, Stream, Timer
 from mintmast.signalling import asking, messages
 from mintmast.signalling.asking import Asked, Terms
 from mintmast.signalling.messages import Cause, Kind, Message, Param, Reader, encode, release
@@ -59,6 +59,7 @@
         self._peers: dict[bytes, str] = {}  # of sessions whose connection is gone: the viewer's side
         self._owed: deque[tuple[int, str, bytes]] = deque(maxlen=MOST_OWED)
         self._asking: deque[_Line] = deque()  # connections with set-ups that were read and not asked yet
+        self._ask_next: Timer | None = None
         loop.call_at(loop.now() + LOOK, self._look)
 
     def accept(self) -> Handler:
@@ -86,22 +87,25 @@
 
     def queue(self, line: _Line) -> None:
         """Take it that a connection has set-ups to be asked: in this turn, once all that came is read."""
-        if not self._asking:
-            self.loop.call_soon(self._ask_some)
         if line not in self._asking:
             self._asking.append(line)
+        if self._ask_next is None:
+            self._ask_next = self.loop.call_soon(self._ask_some)
 
     def _ask_some(self) -> None:
         """Ask a few, one a connection and round again, so that a flood on one holds up no other."""
+        # not before the next turn; set first, as a fault met with one set-up must not keep the others waiting
+        self._ask_next = self.loop.call_at(self.loop.now() + 1, self._ask_some)
         for _ in range(ASKED_A_TURN):
             while self._asking and not self._asking[0].fresh:
                 self._asking.popleft()
             if not self._asking:
+                self._ask_next.cancel()
+                self._ask_next = None
                 return
             line = self._asking.popleft()
             self._asking.append(line)
             line.ask_next()
-        self.loop.call_at(self.loop.now() + 1, self._ask_some)  # not before the next turn
 
     # Answers
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -275,6 +275,26 @@
     return f"id: {event['seq']}\ndata: {json.dumps(event)}\n\n".encode()
 
 
+# The change log
+
+
+def test_a_log_whose_numbers_start_again_is_heard_and_repeats_of_old_lists_are_not():
+    platform = Platform("a")
+    platform.log.tell(news_of(news(2, entry("b"))))
+    platform.log.tell(news_of(news(3, entry("c"))))
+    platform.run(0.1)
+    listed = platform.node._entries
+    platform.log.tell(news_of(news(1, entry("a"), full=True)))
+    platform.run(0.1)
+    assert set(listed) == {b"id-a", b"id-b", b"id-c"}
+    again = news(1, entry("d"), full=True)
+    again["fleet"]["version"] = 4
+    platform.log.tell(news_of(again))
+    platform.log.tell(news_of(news(2, entry("e"))))
+    platform.run(0.1)
+    assert set(listed) == {b"id-d", b"id-e"} and platform.node.changelog.seq == 2
+
+
 # Descriptors
 
 
--- a/tests/test_crossings_sockets.py
+++ b/tests/test_crossings_sockets.py
@@ -143,6 +143,24 @@
     assert bench.node.calls._numbers <= 40
 
 
+def test_a_fault_met_with_one_set_up_does_not_keep_others_waiting(monkeypatch):
+    bench = Bench()
+    ask, faulty = bench.node.calls.ask, [numbered(1)]
+
+    def breaks(now, wish, viewer, since):
+        if wish.call in faulty:
+            raise RuntimeError("for the test")
+        return ask(now, wish, viewer, since)
+
+    monkeypatch.setattr(type(bench.node.calls), "ask", lambda self, *args: breaks(*args))
+    viewer = bench.viewer()
+    viewer.sendall(set_up(numbered(1)) + set_up(numbered(2)))
+    while len(bench.faults) < 1:
+        bench.turn()
+    assert "for the test" in bench.faults.pop()
+    bench.until(lambda: numbered(2) in bench.node.calls.by_id)
+
+
 @pytest.mark.parametrize("how", ["closed", "reset"])
 def test_a_host_s_answer_in_the_turn_in_which_its_viewer_is_gone_leaves_nothing_standing(how):
     bench = Bench()
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -1,6 +1,7 @@
 """The gateway on the platform as a process: what it loads, its signals, bad configurations."""
 
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -79,6 +80,26 @@
         process.kill()
 
 
+def test_signals_that_come_before_the_configuration_is_read_are_kept(tmp_path):
+    """A pipe in the configuration's place holds the start up until the signals have been sent."""
+    port = free_port()
+    text = config(tmp_path / "told.json", port, changelog="127.0.0.1:2").read_text()
+    path = tmp_path / "config.json"
+    os.mkfifo(path)
+    process = start(path)
+    try:
+        with path.open("w") as pipe:  # it is being read from now on
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGHUP)
+            pipe.write(text)
+        path.unlink()
+        path.write_text(text)
+        assert until(process, "reloaded")["changelog"] == "127.0.0.1:2"
+        assert ask(port).kind == Kind.TESTED
+    finally:
+        process.kill()
+
+
 BAD = {
     "not JSON": ("{", "config.json"),
     "no settings": ({"settings": None}, "malformed"),
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -116,6 +116,31 @@
     assert fleet.worst() <= 0 and len(fleet.sends) > 20
 
 
+@pytest.mark.parametrize("count", SIZES)
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("at", [300 * MS, 800 * MS, 1300 * MS])
+def test_old_and_new_processes_of_one_name_that_overlap_keep_it_too(count, seed, at):
+    """All are replaced at once; the old ones are asked for 0.9 s more, the new ones were handed sessions."""
+    fleet, ends = Fleet(count, seed), []
+    for gateway in fleet.gateways:
+        gateway.start(BORN - 60 * S)
+
+    def replace(now):
+        for old in [old for old, until in ends if until <= now]:
+            ends[:] = [each for each in ends if each[0] is not old]
+            fleet.gateways.remove(old)
+        for old in list(fleet.gateways) if now == BORN + at else ():
+            new = Gateway(fleet, old.number, count, seed + 77 * old.number)
+            new.start(now)
+            session = api.SessionOpen(10**6, 1, 0, 5, 0, HOST)
+            new.module.handle(now, session)
+            fleet.gateways.append(new)
+            ends.append((old, now + 900 * MS))
+
+    fleet.play(BORN, BORN + PLAYED, ASKED / count, replace)
+    assert fleet.worst() <= 0 and len(fleet.sends) > 40
+
+
 @pytest.mark.parametrize("count", SIZES)
 @pytest.mark.parametrize("seed", range(3))
 def test_set_ups_that_wait_for_a_connection_and_leave_later_keep_it_too(count, seed):
