--- a/tests/test_slow_start_processes.py
+++ b/tests/test_slow_start_processes.py
@@ -11,8 +11,8 @@
 from mintmast.signalling import messages
 from mintmast.signalling.messages import Kind, Reader
 
-# A set-up may leave a second after it was decided, as long as a connection may take here, so that a machine under
-# load changes nothing. N is 11.25 at the beginning, in a window of 3 s.
+# A set-up may leave a second after it was decided, as long as a connection may take here: load on the machine
+# changes nothing. N is 11.25 at the beginning, in a window of 3 s.
 FALL, CONNECT, PLAYED = 3_000_000, 1_000_000, 4_500_000
 PACE = {"cold": 20_000_000, "coldFrom": 0.5, "fall": FALL, "overloadFactor": 2.5}
 BUDGET = 2.5 * 60 / 20 * 0.5 * 3
