--- a/mintmast/signalling/configuration.py
+++ b/mintmast/signalling/configuration.py
@@ -42,9 +42,9 @@
     name: str
 
 
-class _Caps(msgspec.Struct, frozen=True):
-    connectTimeout: int = 250_000  # noqa: N815 - the platform's word
-    idleClose: int = 30_000_000  # noqa: N815
+class _Caps(msgspec.Struct, frozen=True, rename="camel"):
+    connect_timeout: int = 250_000
+    idle_close: int = 30_000_000
 
 
 class Names(msgspec.Struct):
--- a/mintmast/signalling/hostline.py
+++ b/mintmast/signalling/hostconnection.py
@@ -29,12 +29,12 @@
     call: bytes
     frame: bytes
     connect_by: int
-    line: HostLine | None = None
+    connection: HostConnection | None = None
     timers: tuple[Timer, ...] = ()
     end: int | None = None  # what its connection will have handed over once it is whole; None: not written
 
 
-class HostLine(Handler):
+class HostConnection(Handler):
     """One connection to a host."""
 
     def __init__(self, pool: Pool) -> None:
@@ -59,7 +59,7 @@
 
     def take(self, attempt: Attempt) -> None:
         """Carry a set-up, once a test has passed."""
-        self.attempt, attempt.line = attempt, self
+        self.attempt, attempt.connection = attempt, self
         self.used = self.pool.hosts.loop.now()
         if self.stream is not None:
             self._test()
@@ -168,7 +168,7 @@
             if reason is Close.REFUSED:
                 pool.finish(attempt, Evidence.REFUSED)
             elif self.was_open and pool.hosts.loop.now() < attempt.connect_by:
-                attempt.line = None
+                attempt.connection = None
                 pool.assign(attempt)
             else:
                 pool.finish(attempt, Evidence.NOT_CONNECTED)
--- a/mintmast/signalling/hosts.py
+++ b/mintmast/signalling/hosts.py
@@ -13,7 +13,7 @@
 
 from mintmast.decisions.outcomes import Evidence
 from mintmast.loop import Close, Limits, Loop
-from mintmast.signalling.hostline import Attempt, HostLine
+from mintmast.signalling.hostconnection import Attempt, HostConnection
 from mintmast.signalling.messages import Cause, Kind, Param, encode, release
 
 Address = tuple[str, int]
@@ -64,7 +64,7 @@
     def __init__(self, loop: Loop, events: HostEvents, limits: HostLimits) -> None:
         self.loop, self.events, self.limits = loop, events, limits
         self.pools: dict[bytes, Pool] = {}
-        self.lines = 0
+        self.in_use = 0
         self.moves = 0  # times that a host came to an address
         loop.call_at(loop.now() + LOOK, self._look)
 
@@ -127,26 +127,26 @@
     def rung(self, host: bytes, call: bytes, rung: int) -> None:
         """Tell a new rung, where a connection is open."""
         pool = self.pools.get(host)
-        line = pool.any_open() if pool is not None else None
-        if line is not None:
-            line.write(encode(Kind.RUNG, call, [(Param.RUNG, b"%d" % rung)]))
+        connection = pool.any_open() if pool is not None else None
+        if connection is not None:
+            connection.write(encode(Kind.RUNG, call, [(Param.RUNG, b"%d" % rung)]))
 
     def has_room(self) -> bool:
         """Tell whether there may be one more connection; a spare one goes for it, the one unused for longest.
 
         Danger: spare connections to hosts that are not chosen any more would keep all others out.
         """
-        if self.lines >= self.limits.connections:
-            spare = [line for pool in self.pools.values() for line in pool.spare()]
+        if self.in_use >= self.limits.connections:
+            spare = [connection for pool in self.pools.values() for connection in pool.spare()]
             if spare:
-                min(spare, key=lambda line: line.used).fail(Close.LOCAL)
-        return self.lines < self.limits.connections
+                min(spare, key=lambda connection: connection.used).fail(Close.LOCAL)
+        return self.in_use < self.limits.connections
 
     def _look(self) -> None:
         self.loop.call_at(self.loop.now() + LOOK, self._look)
         for host, pool in list(self.pools.items()):
             pool.look()
-            if pool.gone and not pool.lines and not pool.out and not self.events.wanted(host):
+            if pool.gone and not pool.connections and not pool.out and not self.events.wanted(host):
                 del self.pools[host]
 
 
@@ -156,7 +156,7 @@
     def __init__(self, hosts: MediaHosts, host: bytes, address: Address) -> None:
         self.hosts, self.host, self.address = hosts, host, address
         self.gone = False
-        self.lines: list[HostLine] = []
+        self.connections: list[HostConnection] = []
         self.out: dict[bytes, Attempt] = {}
         self.cuts: deque[bytes] = deque(maxlen=MOST_CUTS)
         self.misses = 0
@@ -178,14 +178,14 @@
         self.address = address
         self.arrive()
         waiting = []
-        for line in list(self.lines):
-            if line.attempt is None or line.attempt.end is None:
-                if line.attempt is not None:
-                    waiting.append(line.attempt)
-                    line.attempt.line = line.attempt = None
-                line.fail(Close.LOCAL)
+        for connection in list(self.connections):
+            if connection.attempt is None or connection.attempt.end is None:
+                if connection.attempt is not None:
+                    waiting.append(connection.attempt)
+                    connection.attempt.connection = connection.attempt = None
+                connection.fail(Close.LOCAL)
             else:
-                line.stale = True
+                connection.stale = True
         for attempt in waiting:
             self.assign(attempt)
 
@@ -193,40 +193,40 @@
         """Tell whether this host came to the other's address later: the other is not reached there now."""
         return self is not other and not self.gone and (other.gone or self._came > other._came)
 
-    def spare(self) -> list[HostLine]:
+    def spare(self) -> list[HostConnection]:
         """Give connections that can go: idle ones to a host where no session stands."""
         if self.cuts or self.hosts.events.wanted(self.host):
             return []
-        return [line for line in self.lines if line.idle]
+        return [connection for connection in self.connections if connection.idle]
 
     # Set-ups
 
     def assign(self, attempt: Attempt) -> None:
         """Put a set-up on an idle connection, the one last heard, or on a new one."""
-        idle = [line for line in self.lines if line.idle]
+        idle = [connection for connection in self.connections if connection.idle]
         if idle:
-            max(idle, key=lambda line: line.heard).take(attempt)
+            max(idle, key=lambda connection: connection.heard).take(attempt)
         elif not self.is_replaced and self.hosts.has_room():
             self.connect().take(attempt)
         else:
             self.finish(attempt, Evidence.NOT_CONNECTED)
 
-    def connect(self) -> HostLine:
+    def connect(self) -> HostConnection:
         """Begin a new connection."""
-        line = HostLine(self)
-        self.lines.append(line)
-        self.hosts.lines += 1
-        line.raw = self.hosts.loop.connect(*self.address, line, LIMITS)
-        return line
+        connection = HostConnection(self)
+        self.connections.append(connection)
+        self.hosts.in_use += 1
+        connection.raw = self.hosts.loop.connect(*self.address, connection, LIMITS)
+        return connection
 
     def unconnected(self, attempt: Attempt) -> None:
         """End an attempt that found no connection that works in the time for it, and that connection."""
-        line = attempt.line
+        connection = attempt.connection
         if attempt.end is None:
             self.finish(attempt, Evidence.NOT_CONNECTED)
-            if line is not None:
-                line.attempt = None
-                line.fail(Close.UNREACHABLE)
+            if connection is not None:
+                connection.attempt = None
+                connection.fail(Close.UNREACHABLE)
 
     def late(self, attempt: Attempt) -> None:
         """Give up an attempt whose time has run out."""
@@ -236,16 +236,16 @@
 
     def drop(self, attempt: Attempt) -> None:
         """Forget an attempt; the host hears that it is given up where it may have heard of it."""
-        line = attempt.line
+        connection = attempt.connection
         self.forget(attempt)
-        if line is None:
+        if connection is None:
             return
-        line.attempt = None
+        connection.attempt = None
         if attempt.end is None:
             return
         # no answer came on this connection: nothing that stands on it can be trusted to come either
-        line.write(release(attempt.call, Cause.NORMAL_CLEARING))
-        line.close()
+        connection.write(release(attempt.call, Cause.NORMAL_CLEARING))
+        connection.close()
         self.cut(attempt.call)
 
     def finish(self, attempt: Attempt, evidence: Evidence, load: str = "") -> None:
@@ -264,45 +264,53 @@
 
     # Cuts
 
-    def any_open(self) -> HostLine | None:
+    def any_open(self) -> HostConnection | None:
         """Give an open connection, the one last heard."""
-        lines = [line for line in self.lines if line.stream is not None and not (line.over or line.stale)]
-        return max(lines, key=lambda line: line.heard) if lines else None
+        connections = [
+            connection
+            for connection in self.connections
+            if connection.stream is not None and not (connection.over or connection.stale)
+        ]
+        return max(connections, key=lambda connection: connection.heard) if connections else None
 
     def cut(self, call: bytes) -> None:
         """Release what may stand there, now or with the next connection."""
-        line = self.any_open()
-        if line is not None:
-            line.write(release(call, Cause.NORMAL_CLEARING))
+        connection = self.any_open()
+        if connection is not None:
+            connection.write(release(call, Cause.NORMAL_CLEARING))
         elif not self.is_replaced:
             self.cuts.append(call)
 
     # Connections
 
-    def opened(self, line: HostLine) -> None:
+    def opened(self, connection: HostConnection) -> None:
         """Take a new connection, and send what waited for one."""
         self.misses = 0
         while self.cuts:
-            line.write(release(self.cuts.popleft(), Cause.NORMAL_CLEARING))
+            connection.write(release(self.cuts.popleft(), Cause.NORMAL_CLEARING))
 
-    def ended(self, line: HostLine, reason: Close) -> None:
+    def ended(self, connection: HostConnection, reason: Close) -> None:
         """Take the end of a connection; without any left, and none to be had, the process is gone."""
-        if line in self.lines:
-            self.lines.remove(line)
-            self.hosts.lines -= 1
-        if line.was_open and self._hear_again():
+        if connection in self.connections:
+            self.connections.remove(connection)
+            self.hosts.in_use -= 1
+        if connection.was_open and self._hear_again():
             return
-        if any(each.stream is not None for each in self.lines):
+        if any(each.stream is not None for each in self.connections):
             return
-        if reason is Close.EXHAUSTED or line.stale:
+        if reason is Close.EXHAUSTED or connection.stale:
             return  # it says nothing of the host; tried again at the next look
         if reason is Close.REFUSED:
             self._dead("refused")
-        elif not line.was_open and reason is not Close.LOCAL:
+        elif not connection.was_open and reason is not Close.LOCAL:
             self.misses += 1
             if self.misses >= 2:
                 self._dead("unreachable")
-        if not self.is_replaced and not self.lines and (self.cuts or self.hosts.events.wanted(self.host)):
+        if (
+            not self.is_replaced
+            and not self.connections
+            and (self.cuts or self.hosts.events.wanted(self.host))
+        ):
             self.connect()
 
     def _hear_again(self) -> bool:
@@ -313,7 +321,9 @@
         """
         if self.is_replaced or not self.hosts.events.wanted(self.host):
             return False
-        if self.hosts.lines < self.hosts.limits.connections and all(each.stream for each in self.lines):
+        if self.hosts.in_use < self.hosts.limits.connections and all(
+            each.stream for each in self.connections
+        ):
             self.connect()
         return True
 
@@ -321,8 +331,8 @@
         """Take it that another host has the address: what is reached there is no longer this one."""
         if not self.is_replaced:
             self.is_replaced = True
-            for line in list(self.lines):
-                line.fail(Close.RESET)
+            for connection in list(self.connections):
+                connection.fail(Close.RESET)
             self._dead("replaced")
 
     def _dead(self, why: str) -> None:
@@ -333,20 +343,23 @@
         """Test quiet connections, end deaf ones, give back spare ones, keep one where sessions stand."""
         now = self.hosts.loop.now()
         wanted = bool(self.cuts) or self.hosts.events.wanted(self.host)
-        for line in list(self.lines):
-            line.look(now)
-            if line.stale and line.attempt is None:
-                line.close()
-        idle = sorted((line for line in self.lines if line.idle), key=lambda line: line.heard)
-        scarce = self.hosts.lines > self.hosts.limits.connections * SCARCE
-        for line in idle[:-1]:
-            if (scarce or not wanted) and now - line.used > SPARE:
-                line.close()
-        if not wanted and len(self.lines) == 1 and idle:
+        for connection in list(self.connections):
+            connection.look(now)
+            if connection.stale and connection.attempt is None:
+                connection.close()
+        idle = sorted(
+            (connection for connection in self.connections if connection.idle),
+            key=lambda connection: connection.heard,
+        )
+        scarce = self.hosts.in_use > self.hosts.limits.connections * SCARCE
+        for connection in idle[:-1]:
+            if (scarce or not wanted) and now - connection.used > SPARE:
+                connection.close()
+        if not wanted and len(self.connections) == 1 and idle:
             if self.gone or now - idle[-1].used > self.hosts.limits.idle_time // 2:
                 idle[-1].close()
-        if wanted and not self.lines:
+        if wanted and not self.connections:
             if self.is_replaced:
                 self._dead("replaced")
-            elif self.hosts.lines < self.hosts.limits.connections:
+            elif self.hosts.in_use < self.hosts.limits.connections:
                 self.connect()
--- a/mintmast/signalling/node.py
+++ b/mintmast/signalling/node.py
@@ -90,7 +90,7 @@
         hosts = max(1, config.limits.sockets - viewers - OWN_SOCKETS)
         caps = names.caps
         room = int(config.limits.memory_mb * (1 << 20) * SET_UPS_PART)
-        self.hosts = MediaHosts(loop, self, HostLimits(caps.connectTimeout, caps.idleClose, hosts))
+        self.hosts = MediaHosts(loop, self, HostLimits(caps.connect_timeout, caps.idle_close, hosts))
         terms = Terms(
             {each.name.encode(): place for place, each in enumerate(names.services)},
             tuple(each.deadline for each in settings.classes),
@@ -131,15 +131,15 @@
 
         Danger: what is queued here, or lies unread at the peer when a reset comes, is lost with the process.
         """
-        now, lines = self.loop.now(), self.viewers.lines.values()
-        if any(line.open for line in lines) or (now < wait_until and self.viewers.busy()):
+        now, connections = self.loop.now(), self.viewers.connections.values()
+        if any(each.open for each in connections) or (now < wait_until and self.viewers.busy()):
             self.loop.call_at(now + STOP_LOOK, self._stopped, wait_until)
             return
         self.viewers.finish()
         self._closed(now + CLOSE_WAIT)
 
     def _closed(self, wait_until: int) -> None:
-        if self.viewers.lines and self.loop.now() < wait_until:
+        if self.viewers.connections and self.loop.now() < wait_until:
             self.loop.call_at(self.loop.now() + STOP_LOOK, self._closed, wait_until)
         else:
             self.on_stopped()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -165,7 +165,7 @@
         platform.hosts["a"].end(call, Cause.NORMAL_UNSPECIFIED)
     platform.run(0.1)
     assert not platform.node.calls.by_id
-    assert not any(line.carried for line in platform.node.viewers.lines.values())
+    assert not any(line.carried for line in platform.node.viewers.connections.values())
 
 
 # Sessions handed over
@@ -191,7 +191,7 @@
     platform.run(0.1)
     assert [message.cause for message in end.of(b"\2" * 8, Kind.RELEASE)] == [cause]
     assert list(platform.node.calls.by_id) == [b"\1" * 8]
-    assert not any(b"\2" * 8 in line.carried for line in platform.node.viewers.lines.values())
+    assert not any(b"\2" * 8 in line.carried for line in platform.node.viewers.connections.values())
 
 
 def test_a_session_that_its_viewer_ends_before_it_is_told_is_ended_at_its_host():
@@ -312,7 +312,7 @@
         assert one_answer(end, call).kind == Kind.ANSWER
         end.stream.write(release(call, Cause.NORMAL_CLEARING))
         platform.run(0.1)
-    assert platform.node.hosts.lines == 4
+    assert platform.node.hosts.in_use == 4
     for name in names[:4]:
         platform.log.tell(news_of(news(20 + names.index(name), entry(name, "Terminating"))))
     for cell, name in enumerate(names[4:]):
@@ -320,4 +320,4 @@
     platform.run(0.1)
     call = platform.ask(end, figures="home:0;copies:1;top:2")
     platform.run(0.1)
-    assert one_answer(end, call).kind == Kind.ANSWER and platform.node.hosts.lines <= 4
+    assert one_answer(end, call).kind == Kind.ANSWER and platform.node.hosts.in_use <= 4
--- a/tests/test_crossings_sockets.py
+++ b/tests/test_crossings_sockets.py
@@ -122,11 +122,11 @@
         if gone == "reset":
             viewer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
         viewer.close()
-    bench.until(lambda: bench.node.viewers.lines)
+    bench.until(lambda: bench.node.viewers.connections)
     if gone == "taken back":
         assert all(message.kind == Kind.HEARD for message in bench.answers(viewer, 300))
     else:
-        bench.until(lambda: not bench.node.viewers.lines)
+        bench.until(lambda: not bench.node.viewers.connections)
     assert bench.node.calls._numbers <= 40
     assert not bench.node.calls.by_id and not bench.node.viewers.held
 
@@ -225,7 +225,7 @@
     take()
     begin, turns = bench.loop.now(), bench.loop.turns
     bench.loop.run(begin + 300_000)
-    assert bench.loop.turns - turns < 100 and not bench.node.viewers.lines
+    assert bench.loop.turns - turns < 100 and not bench.node.viewers.connections
     give()
     viewer.sendall(messages.test(bytes(8)))
     assert bench.answers(viewer, 1)[0].kind == Kind.TESTED
@@ -288,8 +288,8 @@
     viewer = socket.socket()
     viewer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
     viewer.connect(bench.address)
-    bench.until(lambda: bench.node.viewers.lines)
-    line = next(iter(bench.node.viewers.lines.values()))
+    bench.until(lambda: bench.node.viewers.connections)
+    line = next(iter(bench.node.viewers.connections.values()))
     line.stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
     line.good = True
     line.write(b"x" * 100_000)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -247,7 +247,7 @@
     least = {"figures": "home:0;copies:4;top:0", "description": "x" * 3000}
     calls = [platform.ask(flood, "paid", ms=2900, **least) for _ in range(40)]
     platform.run(0.5)
-    assert 0 < viewers.held == sum(line.held for line in viewers.lines.values()) <= viewers.room / 2
+    assert 0 < viewers.held == sum(line.held for line in viewers.connections.values()) <= viewers.room / 2
     assert {one_answer(flood, call).cause for call in calls[-30:]} == {Cause.SWITCHING_EQUIPMENT_CONGESTION}
     assert len(platform.hosts["a"].set_ups) < 10
     platform.hosts["a"].script = play
@@ -278,11 +278,11 @@
 def test_a_peer_that_takes_nothing_of_its_answer_is_broken_off():
     platform = Platform("a")
     end = platform.viewer()
-    line = next(iter(platform.node.viewers.lines.values()))
+    line = next(iter(platform.node.viewers.connections.values()))
     line.stream.close = lambda: None
     platform.ask(end, service="gold")
     platform.run(3)
-    assert not platform.node.viewers.lines
+    assert not platform.node.viewers.connections
 
 
 def test_a_new_host_at_the_address_of_one_that_has_gone_is_another_host():
@@ -357,7 +357,7 @@
     call = platform.ask(good, ms=2000)
     platform.run(0.02)
     idle = [platform.viewer() for _ in range(60)]
-    assert len(platform.node.viewers.lines) <= 32 and good.closed_by is None
+    assert len(platform.node.viewers.connections) <= 32 and good.closed_by is None
     assert idle[0].closed_by is not None
     platform.run(2.5)
     assert one_answer(good, call).kind == Kind.RELEASE
--- a/tests/test_node_hard.py
+++ b/tests/test_node_hard.py
@@ -86,7 +86,7 @@
     call = platform.ask(end, "paid")
     platform.run(0.05)
     (first,) = [name for name, host in platform.hosts.items() if host.set_ups]
-    (line,) = [e for e in platform.node.hosts.pools[f"id-{first}".encode()].lines if e.attempt]
+    (line,) = [e for e in platform.node.hosts.pools[f"id-{first}".encode()].connections if e.attempt]
     other = platform.hosts["b" if first == "a" else "a"]
     other.script = play
     line.stream.handed_over -= 1  # the network had not taken the last byte
@@ -145,7 +145,7 @@
     for _ in range(600):
         end.stream.write(b"\x3f\xff\x63" + bytes(100_000))
     platform.run(1)
-    assert end.closed_by is not None and not platform.node.viewers.lines
+    assert end.closed_by is not None and not platform.node.viewers.connections
 
 
 def test_hundreds_of_set_ups_at_once_taken_back_at_once_leave_nothing_and_harm_nobody():
