A release to a host whose connection breaks under it is sent again

A session whose viewer had left was released at its host once; if the connection broke before the host said anything more, the session played on for nobody (Pool.cut wrote and forgot). It is kept until the host's next word and told again on another connection. Test: tests/test_crossings.py, fails before.

--- a/mintmast/signalling/hostconnection.py
+++ b/mintmast/signalling/hostconnection.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from mintmast.decisions.outcomes import Evidence
 from mintmast.loop import Close, Handler, Stream, Timer
-from mintmast.signalling.messages import Cause, Kind, Message, Param, Reader, encode, test, tested
+from mintmast.signalling.messages import Cause, Kind, Message, Param, Reader, encode, release, test, tested
 
 if TYPE_CHECKING:
     from mintmast.signalling.hosts import Pool
@@ -48,6 +49,7 @@
         now = pool.hosts.loop.now()
         self.began = self.heard = self.used = now
         self.tested: int | None = None  # when the test that is out was written
+        self._released: deque[tuple[int, bytes]] = deque()  # since the host's last word, and when
         self._reader = Reader()
         self._fault = False
         self._reason: Close | None = None
@@ -70,6 +72,19 @@
             self.written += len(data)
             self.stream.write(data)
 
+    def release(self, call: bytes) -> None:
+        """Release a session at the host, and keep that until the host says something afterwards."""
+        self._released.append((self.pool.hosts.loop.now(), call))
+        self.write(release(call, Cause.NORMAL_CLEARING))
+
+    def unheard(self) -> list[bytes]:
+        """Give the sessions whose release the host may not have heard: no word of it came since.
+
+        Danger: the connection breaks under a release, and the session plays on for nobody. Told again on the
+        next connection; a host passes over what it does not hold.
+        """
+        return [call for when, call in self._released if when >= self.heard]
+
     def _test(self) -> None:
         if self.tested is None:
             self.tested = self.pool.hosts.loop.now()
@@ -110,6 +125,8 @@
     def received(self, data: bytes) -> None:
         """Take bytes; with what cannot be read the connection is of no more use."""
         self.heard = self.pool.hosts.loop.now()
+        while self._released and self._released[0][0] < self.heard:
+            self._released.popleft()
         for message in self._reader.feed(data):
             if message.fault is not None:
                 self._fault = True
--- a/mintmast/signalling/hosts.py
+++ b/mintmast/signalling/hosts.py
@@ -277,7 +277,7 @@
         """Release what may stand there, now or with the next connection."""
         connection = self.any_open()
         if connection is not None:
-            connection.write(release(call, Cause.NORMAL_CLEARING))
+            connection.release(call)
         elif not self.is_replaced:
             self.cuts.append(call)
 
@@ -287,13 +287,15 @@
         """Take a new connection, and send what waited for one."""
         self.misses = 0
         while self.cuts:
-            connection.write(release(self.cuts.popleft(), Cause.NORMAL_CLEARING))
+            connection.release(self.cuts.popleft())
 
     def ended(self, connection: HostConnection, reason: Close) -> None:
         """Take the end of a connection; without any left, and none to be had, the process is gone."""
         if connection in self.connections:
             self.connections.remove(connection)
             self.hosts.in_use -= 1
+        for call in connection.unheard():
+            self.cut(call)
         if connection.was_open and self._hear_again():
             return
         if any(each.stream is not None for each in self.connections):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -168,6 +168,20 @@
     assert not any(line.carried for line in platform.node.viewers.connections.values())
 
 
+def test_a_release_to_a_host_whose_connection_breaks_under_it_is_sent_again():
+    platform = Platform("a")
+    end, host = platform.viewer(), platform.hosts["a"]
+    call = platform.ask(end)
+    platform.run(0.1)
+    platform.world.slow["gw", "a"] = 20 * MS
+    end.stream.write(release(call, Cause.NORMAL_CLEARING))
+    platform.run(0.01)
+    assert not platform.node.calls.by_id and not host.cuts
+    platform.world.break_all("gw", "a")
+    platform.run(1)
+    assert host.cuts == [call] and not platform.node.hosts.pools[b"id-a"].cuts
+
+
 # Sessions handed over
 
 
