--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -165,7 +165,21 @@
         platform.hosts["a"].end(call, Cause.NORMAL_UNSPECIFIED)
     platform.run(0.1)
     assert not platform.node.calls.by_id
-    assert not any(line.carried for line in platform.node.viewers.lines.values())
+    assert not any(line.carried for line in platform.node.viewers.connections.values())
+
+
+def test_a_release_to_a_host_whose_connection_breaks_under_it_is_sent_again():
+    platform = Platform("a")
+    end, host = platform.viewer(), platform.hosts["a"]
+    call = platform.ask(end)
+    platform.run(0.1)
+    platform.world.slow["gw", "a"] = 20 * MS
+    end.stream.write(release(call, Cause.NORMAL_CLEARING))
+    platform.run(0.01)
+    assert not platform.node.calls.by_id and not host.cuts
+    platform.world.break_all("gw", "a")
+    platform.run(1)
+    assert host.cuts == [call] and not platform.node.hosts.pools[b"id-a"].cuts
 
 
 # Sessions handed over
@@ -191,7 +205,7 @@
     platform.run(0.1)
     assert [message.cause for message in end.of(b"\2" * 8, Kind.RELEASE)] == [cause]
     assert list(platform.node.calls.by_id) == [b"\1" * 8]
-    assert not any(b"\2" * 8 in line.carried for line in platform.node.viewers.lines.values())
+    assert not any(b"\2" * 8 in line.carried for line in platform.node.viewers.connections.values())
 
 
 def test_a_session_that_its_viewer_ends_before_it_is_told_is_ended_at_its_host():
@@ -312,7 +326,7 @@
         assert one_answer(end, call).kind == Kind.ANSWER
         end.stream.write(release(call, Cause.NORMAL_CLEARING))
         platform.run(0.1)
-    assert platform.node.hosts.lines == 4
+    assert platform.node.hosts.in_use == 4
     for name in names[:4]:
         platform.log.tell(news_of(news(20 + names.index(name), entry(name, "Terminating"))))
     for cell, name in enumerate(names[4:]):
@@ -320,4 +334,4 @@
     platform.run(0.1)
     call = platform.ask(end, figures="home:0;copies:1;top:2")
     platform.run(0.1)
-    assert one_answer(end, call).kind == Kind.ANSWER and platform.node.hosts.lines <= 4
+    assert one_answer(end, call).kind == Kind.ANSWER and platform.node.hosts.in_use <= 4
