--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import sys
+import threading
 
 import pytest
 from platform_world import SETTINGS, entry, news
@@ -19,6 +20,9 @@
 )
 
 
+LONGEST = 60  # s that a process has in a test
+
+
 def config(path, port, **change):
     told = {
         "name": "n0",
@@ -41,7 +45,13 @@
 
 def start(path):
     command = [sys.executable, "-m", "mintmast", "node", str(path)]
-    return subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
+    process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
+    late = threading.Timer(
+        LONGEST, process.kill
+    )  # what it does not say by then fails the test that waits for it
+    late.daemon = True
+    late.start()
+    return process
 
 
 def until(process, event):
@@ -91,9 +101,8 @@
         with path.open("w") as pipe:  # it is being read from now on
             process.send_signal(signal.SIGHUP)
             process.send_signal(signal.SIGHUP)
+            (tmp_path / "told.json").replace(path)  # what is read next is a file
             pipe.write(text)
-        path.unlink()
-        path.write_text(text)
         assert until(process, "reloaded")["changelog"] == "127.0.0.1:2"
         assert ask(port).kind == Kind.TESTED
     finally:
