--- a/tests/test_crossings_sockets.py
+++ b/tests/test_crossings_sockets.py
@@ -190,6 +190,17 @@
     newcomer.close()
 
 
+def test_a_first_message_that_lies_unread_when_its_time_ends_is_read(monkeypatch):
+    bench = Bench()
+    viewer = bench.viewer()
+    bench.until(lambda: bench.node.viewers.connections)
+    viewer.sendall(set_up(numbered(7), ms=400))
+    monkeypatch.setattr("mintmast.signalling.viewers.PATIENCE", -1)
+    bench.node.viewers._look()
+    monkeypatch.undo()
+    bench.until(lambda: numbered(7) in bench.node.calls.by_id)
+
+
 # Descriptors
 
 
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -109,6 +110,23 @@
         process.kill()
 
 
+def test_a_new_configuration_that_no_descriptor_is_left_for_is_read_as_soon_as_there_is_one(tmp_path):
+    port = free_port()
+    path = config(tmp_path / "config.json", port)
+    process = start(path)
+    try:
+        until(process, "serving")
+        limit = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (3, limit[1]))
+        config(path, port, changelog="127.0.0.1:2")
+        process.send_signal(signal.SIGHUP)
+        assert "open files" in until(process, "reload")["refused"]
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limit)
+        assert until(process, "reloaded")["changelog"] == "127.0.0.1:2"
+    finally:
+        process.kill()
+
+
 BAD = {
     "not JSON": ("{", "config.json"),
     "no settings": ({"settings": None}, "malformed"),
