A test of idle clients that fill the descriptors while discovery is down

130 idle connections of which 30 passed a test, 32 allowed: a viewer gets in, its set-up reaches the host, the change log is followed when it is back.

--- a/tests/test_crossings_sockets.py
+++ b/tests/test_crossings_sockets.py
@@ -274,6 +274,27 @@
     assert bench.accepted()
 
 
+def test_idle_clients_that_fill_the_descriptors_while_discovery_is_down_keep_nobody_out_for_good():
+    bench = Bench(sockets=64)  # 32 for viewers
+    log = bench.log.getsockname()
+    bench.log.close()
+    idle = [bench.viewer() for _ in range(30)]
+    for client in idle:
+        client.sendall(messages.test(bytes(8)))  # understood, and never heard of again
+    bench.until(lambda: sum(each.good for each in bench.node.viewers.connections.values()) == 30)
+    idle += [bench.viewer() for _ in range(100)]
+    bench.turn(20)
+    assert len(bench.node.viewers.connections) <= 32
+    viewer, call = bench.viewer(), numbered(7)
+    line = bench.set_up_at_host(viewer, call)
+    line.sendall(encode(Kind.ANSWER, call, [(Param.DESCRIPTION, b"here")]))
+    assert bench.answers(viewer, 1)[0].kind == Kind.ANSWER
+    bench.log = socket.create_server(log)
+    assert bench.accepted(bench.log)
+    for client in idle:
+        client.close()
+
+
 # Shutdown
 
 
