--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -42,8 +42,8 @@
         if known:
             self.hear(now)
 
-    def hear(self, now):
-        entry = api.ListEntry(HOST, api.ServerState.READY, BORN, 0, 0, 0, 1.0)
+    def hear(self, now, born=BORN):
+        entry = api.ListEntry(HOST, api.ServerState.READY, born, 0, 0, 0, 1.0)
         self.module.handle(now, api.ServerList(api.ListKind.FULL, 1, (entry,)))
 
     def ask(self, now):
@@ -165,3 +165,24 @@
 
     fleet.play(BORN, BORN + PLAYED, ASKED / count, hear)
     assert fleet.worst() <= 0 and len(fleet.sends) > 50
+
+
+@pytest.mark.parametrize("count", SIZES)
+@pytest.mark.parametrize("seed", range(3))
+def test_a_host_that_returns_under_its_old_id_is_cold_for_all_that_knew_it_warm(count, seed):
+    """Busy until it died, 0.4 s before it is back; its new start is told by the list."""
+    fleet = Fleet(count, seed)
+    for gateway in fleet.gateways:
+        gateway.start(BORN - 60 * S, known=False)
+        gateway.hear(BORN - 60 * S, 0)
+    fleet.play(BORN - 2 * S, BORN - 400 * MS, ASKED / count)
+    warm = len(fleet.sends)
+
+    def hear(now):
+        if now == BORN:
+            for gateway in fleet.gateways:
+                gateway.hear(now)
+
+    fleet.sends.clear()
+    fleet.play(BORN, BORN + PLAYED, ASKED / count, hear)
+    assert warm > 400 and fleet.worst() <= 0 and len(fleet.sends) > 40
