--- a/tests/test_crossings_sockets.py
+++ b/tests/test_crossings_sockets.py
@@ -25,7 +25,7 @@
 class Bench:
     """A gateway on a real loop, one host and the change log as sockets that the test plays."""
 
-    def __init__(self, sockets=256, log_port=None):
+    def __init__(self, sockets=256):
         self.loop, self.said = SelectorLoop(self.fault), []
         self.faults = []
         self.host = socket.create_server(("127.0.0.1", 0), backlog=512)
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -63,6 +63,11 @@
         self.draw, self.late, self.sends = random.Random(seed), late, []  # late: µs, in every other 0.8 s
         self.gateways = [Gateway(self, number, count, seed * 1000) for number in range(count)]
 
+    def start(self):
+        """Start all gateways long before the host."""
+        for gateway in self.gateways:
+            gateway.start(BORN - 60 * S)
+
     def send(self, now):
         self.sends.append(now + self.late * (now // (800 * MS) % 2))
 
@@ -94,8 +99,7 @@
 @pytest.mark.parametrize("seed", range(3))
 def test_all_together_keep_the_pace_at_any_phase_of_the_warm_up(count, seed):
     fleet = Fleet(count, seed)
-    for gateway in fleet.gateways:
-        gateway.start(BORN - 60 * S)
+    fleet.start()
     fleet.play(BORN, BORN + PLAYED, ASKED / count)
     assert fleet.worst() <= 0 and len(fleet.sends) > 50
 
@@ -104,8 +108,7 @@
 @pytest.mark.parametrize("seed", range(3))
 def test_gateways_that_restart_inside_the_window_and_forget_what_they_sent_keep_it_too(count, seed):
     fleet = Fleet(count, seed)
-    for gateway in fleet.gateways:
-        gateway.start(BORN - 60 * S)
+    fleet.start()
 
     def restart(now):
         if (now - BORN) % (1300 * MS) == 600 * MS:
@@ -122,8 +125,7 @@
 def test_old_and_new_processes_of_one_name_that_overlap_keep_it_too(count, seed, at):
     """All are replaced at once; the old ones are asked for 0.9 s more, the new ones were handed sessions."""
     fleet, ends = Fleet(count, seed), []
-    for gateway in fleet.gateways:
-        gateway.start(BORN - 60 * S)
+    fleet.start()
 
     def replace(now):
         for old in [old for old, until in ends if until <= now]:
@@ -145,8 +147,7 @@
 @pytest.mark.parametrize("seed", range(3))
 def test_set_ups_that_wait_for_a_connection_and_leave_later_keep_it_too(count, seed):
     fleet = Fleet(count, seed, late=CONNECT)
-    for gateway in fleet.gateways:
-        gateway.start(BORN - 60 * S)
+    fleet.start()
     fleet.play(BORN, BORN + PLAYED, ASKED / count)
     assert fleet.worst() <= 0 and len(fleet.sends) > 50
 
