--- a/Makefile
+++ b/Makefile
@@ -7,10 +7,11 @@
 
 setup: $(READY)
 
-$(READY): requirements.txt requirements-gateway.txt requirements-dev.txt pyproject.toml
+$(READY): requirements.txt requirements-gateway.txt requirements-lab.txt requirements-dev.txt \
+		pyproject.toml
 	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/pip -q install --disable-pip-version-check -r requirements.txt -r requirements-gateway.txt \
-		-r requirements-dev.txt
+		-r requirements-lab.txt -r requirements-dev.txt
 	$(VENV)/bin/pip -q install --disable-pip-version-check --no-deps -e .
 	touch $@
 
