--- a/mintmast/cli/__init__.py
+++ b/mintmast/cli/__init__.py
@@ -8,6 +8,8 @@
 
 import click
 
+from mintmast.cli.scale import scale
+
 
 def _bad(lines: list[str]) -> None:
     for line in lines:
@@ -306,3 +308,6 @@
     from mintmast.cli.demo import demo as run
 
     sys.exit(run(seconds))
+
+
+main.add_command(scale)
