Configuration in force: shared settings change on all gateways without a restart

decisions/gateways: revisions (term, number, digest, JSON Merge Patch), one publisher with terms, an epidemic of heads in the words of membership with pulls over the peers' calls, checked again at each gateway by a function of its bytes alone; config/shared, places: what may change and what a running gateway keeps of it; store/keeper: the file, written by a process of its own before anyone is told; mintmast config publish|status|take-over; drill configuration. Off, and not imported, without the settings' section and in node.

--- a/mintmast/cli/__init__.py
+++ b/mintmast/cli/__init__.py
@@ -81,6 +81,37 @@
     click.echo("good: {} hosts, {} titles, {} classes".format(*counts))
 
 
+@config.command("publish")
+@click.argument("patch", type=click.Path())
+@_administrative
+def config_publish(patch: str, admin: str, token: str) -> None:
+    """Change the shared settings of all gateways by the JSON Merge Patch in the file PATCH."""
+    from mintmast.cli.configuration import publish
+
+    sys.exit(publish(patch, admin, token))
+
+
+@config.command("status")
+@click.option("--admin", "admins", multiple=True, required=True, help="HOST:PORT; may be given often.")
+@click.option("--token", envvar="MINTMAST_ADMIN_TOKEN", default="", help="Operators' token.")
+@click.option("--json", "as_json", is_flag=True, help="Print what each said as JSON.")
+def config_status(admins: tuple[str, ...], token: str, as_json: bool) -> None:
+    """Tell which revision of the shared settings gateways have in force, and what is wrong."""
+    from mintmast.cli.configuration import status
+
+    sys.exit(status(admins, token, as_json))
+
+
+@config.command("take-over")
+@click.option("--yes", is_flag=True, help="The publisher of before is down, or nobody publishes there.")
+@_administrative
+def config_take_over(yes: bool, admin: str, token: str) -> None:
+    """Make the gateway at --admin the publisher of the shared settings."""
+    from mintmast.cli.configuration import take_over
+
+    sys.exit(take_over(admin, token, yes))
+
+
 @main.command()
 @click.argument("file", type=click.Path())
 @click.option("--class", "service", required=True, help="Class of sessions that the viewer may play.")
--- a/mintmast/config/load.py
+++ b/mintmast/config/load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
@@ -14,6 +15,11 @@
 from mintmast.config.schema import SCHEMA
 
 MS = 1000
+# what a title is where the settings say nothing
+_TITLE = {
+    name: each["default"]
+    for name, each in SCHEMA["properties"]["titles"]["additionalProperties"]["properties"].items()
+}
 # a value longer than this is cut where an error shows it
 _SHOWN = 80
 
@@ -74,22 +80,20 @@
     if errors:
         raise ConfigError(sorted(errors))
     raw = filled(SCHEMA, raw)
-    errors = list(_sense(raw))
+    errors = list(sense(raw))
     if errors:
         raise ConfigError(errors)
     titles = {
-        name: Title(
-            number, name, each["home"], each["copies"], each["seconds"], each["segment_s"], each["live"]
-        )
+        name: title_of(number, name, each)
         for number, (name, each) in enumerate(sorted(raw["titles"].items()))
     }
     return Config(
         raw,
-        _settings(raw),
+        settings_of(raw),
         titles,
         {each["name"]: place for place, each in enumerate(raw["classes"])},
         {each["name"]: place for place, each in enumerate(raw["tenants"])},
-        tuple(_entry(each) for each in raw["servers"]),
+        tuple(entry_of(each) for each in raw["servers"]),
     )
 
 
@@ -132,15 +136,15 @@
     return value
 
 
-def _sense(raw: dict[str, Any]) -> Iterator[str]:
+def sense(raw: dict[str, Any]) -> Iterator[str]:
     """Yield what the schema cannot say."""
     rungs = [each["kb"] for each in raw["ladder"]]
     if rungs != sorted(rungs):
         yield f"ladder: rates {rungs} are not in rising order"
     for part in ("classes", "tenants"):
-        names = [each["name"] for each in raw[part]]
-        for name in sorted({name for name in names if names.count(name) > 1}):
-            yield f"{part}: name {name} stands twice"
+        for name, times in sorted(Counter(each["name"] for each in raw[part]).items()):
+            if times > 1:
+                yield f"{part}: name {name} stands twice"
     for place, each in enumerate(raw["classes"]):
         if each["floor"] >= len(rungs) or each["floor"] > each["top"]:
             yield f"classes/{place}/floor: {each['floor']} is not a rung from 0 to the class's top"
@@ -164,6 +168,8 @@
             yield f"peers/members: this gateway, {raw['gateway']}, is not among them"
         if raw["instances"] < len(members):
             yield f"instances: {raw['instances']} is under the number of peers.members, {len(members)}"
+    if "configuration" in raw and "peers" not in raw:
+        yield "configuration: the gateways that it is shared with stand under peers, which is missing"
     if raw["instance"] >= raw["instances"]:
         yield f"instance: {raw['instance']} is not under instances, {raw['instances']}"
     for part in ("access", "session"):
@@ -188,7 +194,13 @@
             yield f"servers/{place}/kind: {kind} is not a place in fleet.kinds"
 
 
-def _entry(each: dict[str, Any]) -> api.ListEntry:
+def title_of(number: int, name: str, told: dict[str, Any]) -> Title:
+    """Give a title as the settings have it, with the schema's defaults where they say nothing."""
+    return Title(number=number, name=name, **{**_TITLE, **told})
+
+
+def entry_of(each: dict[str, Any]) -> api.ListEntry:
+    """Give a server of the settings as the list tells it."""
     return api.ListEntry(
         each["address"].encode(),
         api.ServerState[each["state"].upper()],
@@ -200,7 +212,8 @@
     )
 
 
-def _settings(raw: dict[str, Any]) -> api.Settings:
+def settings_of(raw: dict[str, Any]) -> api.Settings:
+    """Give the module's settings of checked ones, defaults filled in."""
     fleet, rules, budget = raw["fleet"], raw["rules"], raw["rules"]["budget"]
     return api.Settings(
         instance=raw["instance"],
--- a/mintmast/config/schema.py
+++ b/mintmast/config/schema.py
@@ -278,6 +278,17 @@
             ),
             skew_s=_num(1, 600, "seconds by which the gateways' clocks may differ", 30.0),
         ),
+        configuration=_obj(
+            "path",
+            path=_text("file of the shared settings in force"),
+            abroad=_list(
+                _text("HOST:PORT of the peers' port of a gateway of another region", pattern=ADDRESS),
+                0,
+                100,
+                "gateways of other regions that are asked for later revisions",
+            ),
+            publish=_flag("it may number revisions; operators publish there", False),
+        ),
         store=_obj(
             "path",
             path=_text("file of what this gateway keeps over its death; without it nothing is kept"),
--- a/mintmast/core/service.py
+++ b/mintmast/core/service.py
@@ -61,6 +61,8 @@
         self.book = SessionBook(
             settings, decide, lease, start * EPOCHS_A_MS, table, gateway, start, members, catalogue
         )
+        # figures that the classes of these sessions had when they were asked for, where they changed since
+        self._begun: dict[int, api.ServiceClass] = {}
         self._names: dict[int, str] = {}  # of sessions that an earlier life named
         self._numbers: dict[str, int] = {}
         self._orders: dict[bytes, list[Callable[[bool], None]]] = {}
@@ -112,6 +114,23 @@
         mine = prefix == f"{self.gateway}-{self.start_number:x}"
         return int(number) if mine and number.isascii() and number.isdigit() and len(number) < 19 else 0
 
+    def adopt(self, settings: api.Settings, catalogue: Catalogue) -> None:
+        """Go on with these settings, between two turns; sessions keep the figures that they began with."""
+        held = self.book.sessions.by_number
+        self._begun = {number: each for number, each in self._begun.items() if number in held}
+        before = self.settings.classes
+        changed = {place for place, each in enumerate(before) if each != settings.classes[place]}
+        for number, session in held.items() if changed else ():
+            if session.ask.service in changed:
+                self._begun.setdefault(number, before[session.ask.service])
+        self.settings = settings
+        self._title_of = catalogue.titles.__getitem__
+        self.book.adopt(settings, catalogue)
+
+    def service(self, session: int, place: int) -> api.ServiceClass:
+        """Give the figures of a session's class: those of the time when it was asked for."""
+        return self._begun.get(session) or self.settings.classes[place]
+
     # Fronts
 
     def ask(self, ask: msg.Ask, answer: AnswerTo) -> int:
@@ -219,7 +238,7 @@
 
     def _set_up(self, command: msg.SendSetUp) -> None:
         ask = command.ask
-        service = self.settings.classes[ask.service]
+        service = self.service(command.session, ask.service)
         asked = self._asked.get(ask.ask)
         if asked is not None:
             asked.attempts += 1
@@ -258,7 +277,7 @@
 
     def _kb(self, session: int, rung: int) -> float:
         held = self.book.sessions.get(session)
-        scale = self.settings.classes[held.ask.service].scale if held is not None else 1.0
+        scale = self.service(session, held.ask.service).scale if held is not None else 1.0
         return self.settings.rung_kb[rung] * scale
 
     def _rung(self, command: msg.SendRung) -> None:
--- /dev/null
+++ b/mintmast/decisions/gateways/history.py
@@ -0,0 +1,127 @@
+"""Revisions that others may still ask for, the answer to them, and the check that each one must pass."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+
+from mintmast.decisions.gateways.revising import Check, Delta, Head, Question, Reply, Stored, digest_of
+
+# bytes of a document and of a patch that are taken: what is shared by 3,400 gateways with room to spare, and
+# a change that a person or a tool writes in one piece
+DOCUMENT_BYTES, PATCH_BYTES = 1 << 20, 64 << 10
+# revisions kept to be told to others: four hours of 11,000 a day, so that a restart, a region's cut and a
+# long stop are told by deltas; in bytes a two-hundredth of a gateway's 64 MB for control
+HISTORY, HISTORY_BYTES = 2048, 320 << 10
+# revisions and bytes of patches in one reply: each is a check of a whole document, and they are one turn of
+# the loop
+REPLY_DELTAS, REPLY_BYTES = 16, 64 << 10
+# bytes of a document's piece in one reply: base64 makes it 64 kB, a fifteenth of what a line takes
+PAGE_BYTES = 48 << 10
+
+
+class History:
+    """The last revisions of one gateway, without a gap, up to its head."""
+
+    def __init__(self, stored: Stored) -> None:
+        self.base, self.deltas, self.bytes = stored.head, [], 0
+        self._keys: list[tuple[int, int]] = []
+        if stored.history and stored.history[-1].head == stored.head:
+            self.base = stored.base
+            self._add(stored.history)
+
+    def extend(self, head: Head, deltas: tuple[Delta, ...]) -> None:
+        """Go on to a head; without deltas what was before it cannot be told any more."""
+        if deltas:
+            self._add(deltas)
+        else:
+            self.base, self.deltas, self._keys, self.bytes = head, [], [], 0
+
+    def _add(self, deltas: tuple[Delta, ...]) -> None:
+        self.deltas.extend(deltas)
+        self._keys.extend(each.head.key for each in deltas)
+        self.bytes += sum(len(each.patch) for each in deltas)
+        if len(self.deltas) <= HISTORY and self.bytes <= HISTORY_BYTES:
+            return
+        # an eighth more than must be, so that this is not done at each revision
+        cut = 0
+        while len(self.deltas) - cut > HISTORY * 7 // 8 or self.bytes > HISTORY_BYTES * 7 // 8:
+            self.bytes -= len(self.deltas[cut].patch)
+            cut += 1
+        self.base = self.deltas[cut - 1].head
+        del self.deltas[:cut], self._keys[:cut]
+
+    def answer(self, head: Head, document: bytes, question: Question) -> Reply | None:
+        """Answer a question at this head; None for what is none.
+
+        Deltas, where the asker's head is one of the history and they are fewer bytes than the document.
+        """
+        since = Head(question.term, question.number, question.digest)
+        if not since.good or not 0 <= question.offset <= DOCUMENT_BYTES or len(question.of) > 16:
+            return None
+        at, fork = self._place(since)
+        if since.key >= head.key:
+            return Reply(head, fork=fork)
+        if at is not None and not question.whole and self._short(at, len(document)):
+            deltas, size = [], 0
+            for delta in self.deltas[at : at + REPLY_DELTAS]:
+                size += len(delta.patch)
+                if deltas and size > REPLY_BYTES:
+                    break
+                deltas.append(delta)
+            return Reply(head, tuple(deltas))
+        offset = question.offset if question.of == head.digest else 0
+        page = document[offset : offset + PAGE_BYTES]
+        return Reply(head, (), page, offset, len(document), fork)
+
+    def _short(self, at: int, size: int) -> bool:
+        """Tell whether deltas are fewer bytes than a document of this size, or one reply at all."""
+        left = self.deltas[at:]
+        return len(left) <= REPLY_DELTAS or sum(len(each.patch) for each in left) <= size
+
+    def _place(self, since: Head) -> tuple[int | None, bool]:
+        """Give where the history goes on after a head, and whether it has another one under its number."""
+        if since.key == self.base.key:
+            return (0, False) if since == self.base else (None, True)
+        at = bisect_left(self._keys, since.key)
+        if at == len(self._keys) or self._keys[at] != since.key:
+            return None, False
+        same = self.deltas[at].head.digest == since.digest
+        return (at + 1, False) if same else (None, True)
+
+
+def checked(check: Check, document: bytes, patch: bytes) -> tuple[bytes | None, str]:
+    """Check a patch on a document: the document after it, or None and why.
+
+    Danger: a check that raises on one odd input would end the processes of all gateways at once.
+    """
+    if len(patch) > PATCH_BYTES:
+        return None, f"a patch of over {PATCH_BYTES} bytes"
+    try:
+        after, why = check(document, patch)
+    except (ValueError, TypeError, LookupError, ArithmeticError, RecursionError) as error:
+        return None, f"the check failed: {error}"[:300]
+    if after is not None and len(after) > DOCUMENT_BYTES:
+        return None, f"a document of over {DOCUMENT_BYTES} bytes"
+    return after, why
+
+
+def chain(
+    check: Check, head: Head, document: bytes, reply: Reply
+) -> tuple[Head, bytes, tuple[Delta, ...], str, str]:
+    """Take a reply's deltas one after the other, up to the first that is not good.
+
+    Gives head and document after those that are, and of the first other one what it is ("bad reply",
+    "refused", "bad digest", "" for none) and why it was refused.
+    """
+    good: list[Delta] = []
+    for delta in reply.deltas[:REPLY_DELTAS]:
+        if not delta.head.good or not head.key < delta.head.key <= reply.head.key:
+            return head, document, tuple(good), "bad reply", ""
+        after, why = checked(check, document, delta.patch)
+        if after is None:
+            return head, document, tuple(good), "refused", why
+        if digest_of(after) != delta.head.digest:
+            return head, document, tuple(good), "bad digest", ""
+        head, document = delta.head, after
+        good.append(delta)
+    return head, document, tuple(good), "", ""
--- a/mintmast/decisions/gateways/members.py
+++ b/mintmast/decisions/gateways/members.py
@@ -15,6 +15,7 @@
 from collections import deque
 from dataclasses import dataclass, replace
 
+from mintmast.decisions.gateways.revising import HeadHeard
 from mintmast.decisions.gateways.roll import (
     Changed,
     Command,
@@ -41,7 +42,7 @@
     refused,
     refuted,
 )
-from mintmast.decisions.gateways.words import MOST_NEWS, Kind, News, Word
+from mintmast.decisions.gateways.words import MOST_NEWS, HeadedWord, Kind, News, Word
 
 MS, SECOND = 1000, 1_000_000
 # µs that a probe has in all, first itself and then through others; half a second finds a loss within the time
@@ -97,6 +98,8 @@
         self.condemned = ""  # why this process must not act under its name any more
         self.dropped = dict.fromkeys(("foreign", "old", "doubled", "bad state"), 0)
         self.words = 0  # that were sent
+        # term, number and mark of the configuration in force, told in each word; None where it is not shared
+        self.head: tuple[int, int, int] | None = None
         self._wait: set[str] | None = set()  # who was heard since this process stood still; None: enough
         self._waits = 0  # whole periods of that
         self._probe: _Probe | None = None
@@ -339,10 +342,8 @@
     ) -> None:
         self.words += 1
         own = self.own
-        word = Word(
-            kind, self.name, own.start, own.incarnation, self.words, number, about, gap, self._news(to),
-            self._place,
-        )  # fmt: skip
+        told = kind, self.name, own.start, own.incarnation, self.words, number, about, gap, self._news(to)
+        word = Word(*told, self._place) if self.head is None else HeadedWord(*told, self._place, *self.head)
         self._out.append(SendWord(to, word, sure, self.others[to].standing.start, now))
 
     def _news(self, to: str) -> tuple[News, ...]:
@@ -393,6 +394,9 @@
             self._wait.add(member.name)
         state = State.LEFT if word.kind == Kind.LEAVE else State.ALIVE
         self._learn(now, member, Standing(word.start, word.incarnation, state), "")
+        if self.head is not None and isinstance(word, HeadedWord) and word.term != -1:
+            member.revision = word.term, word.revision, word.mark
+            self._out.append(HeadHeard(member.name, *member.revision))
         for news in word.news:
             self._told(now, news)
         if word.kind == Kind.PING:
--- a/mintmast/decisions/gateways/roll.py
+++ b/mintmast/decisions/gateways/roll.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from mintmast.decisions.gateways.revising import HeadHeard
 from mintmast.decisions.gateways.standing import Proof, Standing
 from mintmast.decisions.gateways.words import Window, Word
 
@@ -59,7 +60,7 @@
     place: str
 
 
-Command = SendWord | WakeAt | Changed | Noted | Moved
+Command = SendWord | WakeAt | Changed | Noted | Moved | HeadHeard
 
 
 class Tick(msgspec.Struct, frozen=True, gc=False):
@@ -105,6 +106,7 @@
     datagram_at: int | None = None
     place: str = ""
     placed: int = 0  # the start that is there
+    revision: tuple[int, int, int] | None = None  # the last head that it told: term, number, mark
     way: Way = Way.WHOLE
     answered: int = 0  # probes in a row that were answered directly
     observers: set[str] = field(default_factory=set)
--- a/mintmast/decisions/gateways/words.py
+++ b/mintmast/decisions/gateways/words.py
@@ -59,6 +59,18 @@
     place: str = ""
 
 
+class HeadedWord(Word, frozen=True, array_like=True, gc=False):
+    """A word that tells its sender's configuration in force: `revising.Head`'s term, number and mark.
+
+    Only gateways with a `configuration` section send it; a word without decodes as term -1, and a gateway of
+    before reads this one as a `Word`.
+    """
+
+    term: int = -1
+    revision: int = 0
+    mark: int = 0
+
+
 class Window:
     """Which words of a sender came already: the highest number, and a bit for each of those under it.
 
--- a/mintmast/decisions/sessions/book.py
+++ b/mintmast/decisions/sessions/book.py
@@ -151,6 +151,18 @@
         self.handlers[type(event)](now, event)
         return self._out
 
+    def adopt(self, settings: api.Settings, catalogue: Catalogue) -> None:
+        """Go on with these settings, between two inputs; what numbers stand for does not change by it."""
+        self.settings = settings
+        self.intents.adopt(catalogue)
+        self.moves.adopt(settings)
+        self.recovery.adopt(settings, catalogue)
+
+    def holds(self, key: str, title: int) -> bool:
+        """Tell whether a session of this title is under way or plays for a key."""
+        session = self.sessions.get(self.keys.holder(key)) if key else None
+        return session is not None and session.ask.title == title
+
     @property
     def held(self) -> int:
         """Sessions under way or playing."""
--- a/mintmast/decisions/sessions/intents.py
+++ b/mintmast/decisions/sessions/intents.py
@@ -65,6 +65,10 @@
     def __len__(self) -> int:
         return len(self._until)
 
+    def adopt(self, catalogue: Catalogue) -> None:
+        """Write records from now on with these names."""
+        self._catalogue = catalogue
+
     def before(self, now: int, session: Session, clock: int, then: Callable[[int, bool], None]) -> None:
         """Write that a session is about to be sent to its host; `then(now, good)` when it may leave, or not.
 
--- a/mintmast/decisions/sessions/moving.py
+++ b/mintmast/decisions/sessions/moving.py
@@ -81,6 +81,10 @@
         self._next: dict[int, int] = {}  # moved session: the one that it became
         self._polls: dict[int, Move] = {}
 
+    def adopt(self, settings: api.Settings) -> None:
+        """Go on with these settings; moves under way end as they began."""
+        self._settings = self.planner.settings = settings
+
     # What others ask
 
     def moving(self, session: int) -> bool:
--- a/mintmast/decisions/sessions/recovery.py
+++ b/mintmast/decisions/sessions/recovery.py
@@ -79,6 +79,10 @@
         self._asked: dict[bytes, int] = {}  # hosts that are being asked: number of the call
         self.counts = dict.fromkeys((*(each.value for each in Fate), "not offered"), 0)
 
+    def adopt(self, settings: api.Settings, catalogue: Catalogue) -> None:
+        """Go on with these settings."""
+        self._settings, self._catalogue = settings, catalogue
+
     def holds(self, session: int) -> bool:
         """Tell whether a session of an earlier life is not settled yet."""
         return session in self._open
--- a/mintmast/fronts/dash/front.py
+++ b/mintmast/fronts/dash/front.py
@@ -36,6 +36,7 @@
         tokens = config["tokens"]
         self.loop, self.config, self.core = loop, config, core
         self.access = AccessTokens(Keys(tokens["access"]), tokens["audience"], tokens["skew_s"])
+        self.gone: dict[str, Title] = {}  # titles that are no more offered, but play here
         keys = Keys(tokens["session"])
         self.sessions = SessionTokens(keys, tokens["session"][0]["kid"], tokens["skew_s"])
         self.manifests = Manifests()
@@ -56,6 +57,13 @@
         )
         self.public = listen.get("public") or f"http://{listen['host']}:{self.server.port}"
 
+    def adopt(self, config: Config, gone: dict[str, Title]) -> None:
+        """Go on with these settings, between two turns: titles, classes, tenants and viewers' keys."""
+        keys = config["tokens"]["access"]
+        if keys != self.config["tokens"]["access"]:
+            self.access.keys = Keys(keys)
+        self.config, self.gone = config, gone
+
     def _handle(self, exchange: Exchange) -> None:
         if exchange.path == "/dash/time" and exchange.method in ("GET", "HEAD"):
             body = iso_time(self.loop.wall()).encode()
@@ -65,7 +73,7 @@
             self._steer(exchange)
             return
         match = _PATH.match(exchange.path)
-        title = self.config.titles.get(match[1]) if match else None
+        title = self.config.titles.get(match[1]) or self.gone.get(match[1]) if match else None
         if title is None:
             exchange.problem(404, "no such title" if match else "no such path")
         elif exchange.method == "OPTIONS":
@@ -83,6 +91,15 @@
             challenge = [("WWW-Authenticate", 'Bearer error="invalid_token"')] if status == 401 else []
             exchange.problem(status, str(error), headers=challenge)
             return
+        key = exchange.headers.get("idempotency-key", "").strip().strip('"') or viewer.key
+        if len(key) > _KEY_LENGTH:
+            exchange.problem(400, "idempotency key too long")
+            return
+        if key:
+            key = f"{viewer.tenant}/{viewer.subject}/{viewer.service}/{title.name}/{key}"
+        if title.name not in self.config.titles and not self.core.book.holds(key, title.number):
+            exchange.problem(404, "no such title")  # it is gone but for those who watch it
+            return
         if exchange.method == "HEAD":  # the head alone must not set a session up
             exchange.respond(200, [("Content-Type", _TYPE), _NO_STORE])
             return
@@ -91,10 +108,6 @@
         wait = _WAIT.search(exchange.headers.get("prefer", ""))
         if wait:
             budget = min(budget, int(float(wait[1]) * 1e6))
-        key = exchange.headers.get("idempotency-key", "").strip().strip('"') or viewer.key
-        if len(key) > _KEY_LENGTH:
-            exchange.problem(400, "idempotency key too long")
-            return
         ask = Ask(
             ask=0,
             service=service,
@@ -104,7 +117,7 @@
             copies=title.copies,
             best_rung=min(viewer.best_rung, len(self.config.settings.rung_kb) - 1),
             budget=max(0, budget - self._margin),
-            key=f"{viewer.tenant}/{viewer.subject}/{viewer.service}/{title.name}/{key}" if key else "",
+            key=key,
             length=0 if title.live else int(title.seconds * 1e6),
             again=exchange.headers.get("mintmast-again") == "1",
         )
@@ -155,7 +168,8 @@
         told = _BUFFER.search(exchange.query.get("CMCD", ""))
         buffer = int(told[1]) * 1000 if told else 0
         hold = min(self.config["steering"]["hold_ms"] * 1000, buffer)
-        title = self.config.titles.get(str(claims["ttl"]))
+        name = str(claims["ttl"])
+        title = self.config.titles.get(name) or self.gone.get(name)
         if title is None:
             exchange.problem(410, "the title is no more")
             return
@@ -169,7 +183,7 @@
             exchange.problem(410, "the session is over")
             return
         host, first = answer.server.decode(), str(claims["hst"])
-        top = min(answer.best_rung, self.config.settings.classes[answer.service].top)
+        top = min(answer.best_rung, self.core.service(answer.session, answer.service).top)
         token = self._token(title, top, answer)
         manifest: dict[str, Any] = {
             "VERSION": 1,
@@ -200,7 +214,7 @@
         self, title: Title, service: int, best: int, give: Give
     ) -> tuple[int, list[tuple[str, str]], bytes]:
         settings = self.config.settings
-        kind = settings.classes[service]
+        kind = self.core.service(give.session, service)
         top = min(best, kind.top)
         host, token = give.server.decode(), self._token(title, top, give)
         shape = Shape(
--- a/mintmast/gateway.py
+++ b/mintmast/gateway.py
@@ -75,12 +75,17 @@
         table: dict | None = None,
         store: Store | None = None,
     ) -> None:
+        self._say, begun = say, None
+        if "configuration" in config.raw:
+            from mintmast import configuring
+
+            begun = configuring.begin(loop, config, say)
+            config = begun.places.config
         self.loop, self.config = loop, config
         if seed is None:
             seed = config.raw.get("seed", random.SystemRandom().getrandbits(62))
         self.metrics = Metrics()
         self._listeners: list[Callable[[str, dict[str, Any]], None]] = [self.metrics.take]
-        self._say = say
         share = config["telemetry"]["trace_share"]
         if share > 0:
             self._listeners.append(Traces(share, seed, say, loop.wall).take)
@@ -104,6 +109,8 @@
         catalogue = Catalogue(
             tuple(config.classes), tuple(config.tenants), tuple(each.name for each in config.titles.values())
         )
+        if begun is not None:
+            catalogue = configuring.catalogue_of(begun.places)
         self.core = Core(
             loop,
             settings,
@@ -125,6 +132,13 @@
         if "peers" in config.raw:
             self._meet(config["peers"], start, seed)
         self.dash = DashFront(loop, config, self.core)
+        self.configuring = None
+        if begun is not None and self.peers is not None and self.roster is not None:
+            told, live = config["configuration"], configuring.Live(self, begun)
+            self.dash.gone = begun.places.gone
+            self.configuring = configuring.Configuring(
+                loop, told, config["gateway"], begun, live, self.peers, self.roster, seed, self.say
+            )
         self.admin = None
         if "admin" in config.raw:
             admin = config["admin"]
@@ -173,7 +187,13 @@
             listener(event, fields)
 
     def _administer(self, exchange: Exchange) -> None:
-        if exchange.path in ("/v1/drains", "/v1/moves", "/v1/sources", "/v1/members", "/v1/members/forget"):
+        if exchange.path in (
+            "/v1/drains",
+            "/v1/moves",
+            "/v1/sources",
+            "/v1/members",
+            "/v1/members/forget",
+        ) or (self.configuring is not None and exchange.path.startswith("/v1/configuration")):
             self._operate(exchange)
             return
         if exchange.path != "/metrics":
@@ -186,6 +206,8 @@
             self.metrics.unsettled.set(self.core.book.recovery.open)
         if self.roster is not None:
             self.metrics.roster(self.members(), [each.name.lower() for each in Proof])
+        if self.configuring is not None:
+            self.metrics.configuration(self.configuring.state())
         exchange.respond(200, [("Content-Type", "text/plain; version=0.0.4")], self.metrics.text())
 
     def _operate(self, exchange: Exchange) -> None:
@@ -194,6 +216,8 @@
         shown = exchange.headers.get("authorization", "").removeprefix("Bearer ")
         if wanted is None or not hmac.compare_digest(shown.encode(), wanted.encode()):
             exchange.problem(401, "the operators' token is needed")
+        elif self.configuring is not None and exchange.path.startswith("/v1/configuration"):
+            self.configuring.operate(exchange)
         elif exchange.path == "/v1/moves" and exchange.method == "GET":
             _tell(exchange, self.moves())
         elif exchange.path == "/v1/sources" and exchange.method == "GET":
@@ -276,5 +300,7 @@
             self.peers.close()
         if self.admin is not None:
             self.admin.close()
+        if self.configuring is not None:
+            self.configuring.close()
         if self.core.store is not None:
             self.core.store.close()
--- a/mintmast/lab/drills/frame.py
+++ b/mintmast/lab/drills/frame.py
@@ -11,7 +11,7 @@
 
 from mintmast.decisions.sessions.moves import END_QUICK
 from mintmast.lab.audit import Findings, Terms, audit, membership, moves, worth
-from mintmast.lab.drills import bad_day, drain, files, kill, members, power, registry, roaming
+from mintmast.lab.drills import bad_day, configuration, drain, files, kill, members, power, registry, roaming
 from mintmast.lab.drills.day import Day, Drill, model, settings
 from mintmast.lab.drills.viewers import Viewers
 from mintmast.lab.loopback import LoopbackStage
@@ -26,7 +26,7 @@
 # gateways that are asked so often; more are asked less often, as each tells of all
 FEW = 20
 DRILLS: dict[str, Drill] = {}
-for _family in (registry, files, bad_day, drain, roaming, members, kill, power):
+for _family in (registry, files, bad_day, drain, roaming, members, kill, power, configuration):
     DRILLS.update(_family.DRILLS)
 
 
@@ -92,6 +92,8 @@
         if drill.links:
             names = [f"gw{number}" for number in range(day.gateways)]
             viewers.measures.update(views(stage.rows, found, names))
+        if stage.shares:
+            viewers.measures.update(configuration.configured(stage.rows, found, day.gateways))
         return _report(name, seed, net, stage, viewers, found)
 
 
--- a/mintmast/lab/loopback.py
+++ b/mintmast/lab/loopback.py
@@ -98,10 +98,14 @@
             if isinstance(reply, Reply) and reply.status == 200:
                 told(json.loads(reply.body))
 
-        admin = self.address, self._port(f"{self.machine(number)}-admin")
+        admin = self.admin_place(number)
         headers = [("Authorization", f"Bearer {SECRET}")]
         self.client.call(admin, "GET", "/v1/members", answered, headers, b"", self.now() + 400_000)
 
+    def admin_place(self, number: int) -> tuple[str, int]:
+        """Give a port of the drill's address."""
+        return self.address, self._port(f"{self.machine(number)}-admin")
+
     def start_gateway(self, number: int, files: bool = True, wall_shift: float = 0.0) -> None:
         """Start a gateway's process, with its files or without, its wall clock wrong by so many seconds."""
         folder = Path(self.folder.name)
--- /dev/null
+++ b/mintmast/lab/scale/configuration.py
@@ -0,0 +1,291 @@
+"""Configuration in force over a fleet: until when the last gateway has a change, and what that costs each.
+
+`Light` has the real `Revisions` of every gateway and, in place of `Members`, only its words' rate and whom
+they go to: 6.7 probes a second, each answered, through a region in an order drawn anew. Left out are losses,
+suspicion, and words between gateways that have the same in force, which do nothing. `rows` plays `Spread`,
+which has all of `Members`, beside it at 50. Five minutes of a cut are not played but jumped over: nothing
+happens in them but questions that fail.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+import statistics
+import time
+from collections.abc import Callable
+from functools import cache
+from typing import Any
+
+import msgspec
+
+from mintmast.decisions.gateways.members import ANSWER
+from mintmast.decisions.gateways.revising import (
+    AskRevisions,
+    Command,
+    Event,
+    Head,
+    HeadHeard,
+    InForce,
+    Keep,
+    Kept,
+    Ordered,
+    Publish,
+    Pulled,
+    PullFailed,
+    Reply,
+    Stored,
+    Tick,
+    Wake,
+    digest_of,
+)
+from mintmast.decisions.gateways.revisions import ABROAD_EVERY, Revisions
+from mintmast.decisions.gateways.words import HeadedWord, Kind, Word
+from mintmast.lab.scale.record import Row
+from mintmast.lab.spread import CALLED, DISK, FIRST, Spread, check
+
+SECOND = 1_000_000
+REGIONS = 3
+# changes a second of the target's 11,000 a day
+A_DAY = 11_000 / 86_400
+# words a second that a gateway sends, and as many that it gets: a probe each 150 ms, and an answer
+WORDS = 2 * SECOND / ANSWER
+# µs one way: within a region, and between two
+NEAR, FAR = (200, 1500), (20_000, 60_000)
+# addresses of each other region in a gateway's `configuration.abroad`
+ABROAD = 8
+# changes of five minutes, while a region is cut off, and of the burst
+CUT, BURST = round(300 * A_DAY), 200
+# s played for a change, a burst and a join to come to all; the target is 18
+PLAYED = 18
+
+_check = cache(check)
+
+
+class Light:
+    """A fleet of so many gateways in three regions, all settled, the first one its publisher."""
+
+    def __init__(self, count: int, seed: int, document: bytes = FIRST) -> None:
+        self.random = random.Random(f"{seed}/{count}")
+        self.now = 1000 * SECOND
+        self.regions = [list(range(first, count, REGIONS)) for first in range(REGIONS)]
+        self.force = [0] * count  # µs when its head came in force
+        self.cut: set[int] = set()  # regions that reach no other
+        self.pulls = self.bytes = self.heads = 0
+        self.spent = 0.0  # s of processor time in all `Revisions`
+        self.answers: list[Ordered] = []
+        self._queue: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._count = itertools.count()
+        self._orders: list[list[int]] = [[] for _ in range(count)]
+        stored = Stored(Head(1, 1, digest_of(document)), document)
+        first = msgspec.structs.replace(stored, leads=1)
+        self.parts = [
+            Revisions(
+                stored if number else first,
+                _check,
+                random.Random(self.random.random()),
+                len(self.regions[number % REGIONS]) - 1,
+                ABROAD * (REGIONS - 1),
+            )
+            for number in range(count)
+        ]
+        for number, part in enumerate(self.parts):
+            part._start.over = True
+            self._do(number, part.begin(self.now))
+            self.later(self.random.randrange(ANSWER), self._probe, number)
+
+    def later(self, wait: int, do: Callable[..., None], *args: Any) -> None:
+        """Call after so many µs."""
+        heapq.heappush(self._queue, (self.now + wait, next(self._count), do, args))
+
+    def run(self, seconds: float, until: Callable[[], bool] = lambda: False) -> float:
+        """Let time go on, until something is so at the longest; gives the seconds that it took."""
+        begun, end = self.now, self.now + int(seconds * SECOND)
+        looked = self.now
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, do, args = heapq.heappop(self._queue)
+            do(*args)
+            if self.now - looked > SECOND // 20:
+                looked = self.now
+                if until():
+                    return (self.now - begun) / SECOND
+        self.now = end
+        return seconds
+
+    def take(self, number: int, event: Event) -> None:
+        """Let an event come to a gateway."""
+        begun = time.process_time()
+        out = self.parts[number].take(self.now, event)
+        self.spent += time.process_time() - begun
+        self._do(number, out)
+
+    def same(self) -> bool:
+        """Tell whether all have the same in force."""
+        first = self.parts[0].head
+        return all(part.head == first for part in self.parts)
+
+    def _probe(self, number: int) -> None:
+        order = self._orders[number]
+        if not order:
+            order.extend(each for each in self.regions[number % REGIONS] if each != number)
+            self.random.shuffle(order)
+        self.later(self.random.randint(*NEAR), self._word, number, order.pop(), True)
+        self.later(ANSWER, self._probe, number)
+
+    def _word(self, source: int, to: int, answer: bool) -> None:
+        told = self.parts[source].head
+        if told != self.parts[to].head:
+            self.heads += 1
+            self.take(to, HeadHeard(str(source), told.term, told.number, told.mark))
+        if answer:
+            self.later(self.random.randint(*NEAR), self._word, to, source, False)
+
+    def _do(self, number: int, commands: list[Command]) -> None:
+        for command in commands:
+            if isinstance(command, Wake):
+                self.later(max(0, command.at - self.now), self.take, number, Tick(command.at))
+            elif isinstance(command, Keep):
+                self.later(self.random.randint(*DISK), self.take, number, Kept(command.number))
+            elif isinstance(command, InForce):
+                self.force[number] = self.now
+            elif isinstance(command, AskRevisions):
+                self._ask(number, command)
+            elif isinstance(command, Ordered):
+                self.answers.append(command)
+
+    def _ask(self, number: int, command: AskRevisions) -> None:
+        source, own = command.source, number % REGIONS
+        if isinstance(source, int):
+            region = (own + 1 + source % (REGIONS - 1)) % REGIONS
+            source = self.regions[region][source // (REGIONS - 1) % len(self.regions[region])]
+            if self.cut & {own, region}:
+                self.later(command.until - self.now, self.take, number, PullFailed(command.call))
+                return
+        path = FAR if int(source) % REGIONS != own else NEAR
+        self.later(3 * self.random.randint(*path), self._asked, number, int(source), command, path)
+
+    def _asked(self, number: int, source: int, command: AskRevisions, path: tuple[int, int]) -> None:
+        begun = time.process_time()
+        reply = self.parts[source].answer(command.question)
+        self.spent += time.process_time() - begun
+        self.pulls += 1
+        told = reply or Reply(Head())
+        encode = msgspec.json.encode
+        self.bytes += len(encode(command.question)) + len(encode(told)) + sum(CALLED)
+        self.later(self.random.randint(*path), self.take, number, Pulled(command.call, told))
+
+
+def _change(number: int) -> Publish:
+    return Publish(number, b'{"titles":"%060d"}' % number)
+
+
+def _spread(fleet: Light) -> tuple[float, float]:
+    """Publish a change; gives the seconds until it was in force at the last one, and at half of them."""
+    begun = fleet.now
+    fleet.take(0, _change(begun))
+    fleet.run(PLAYED, lambda: fleet.parts[0].head.number > 1 and fleet.same())
+    if not fleet.same():
+        raise RuntimeError(f"a change is not in force everywhere after {PLAYED} s")
+    return (max(fleet.force) - begun) / SECOND, (statistics.median(fleet.force) - begun) / SECOND
+
+
+def _burst(fleet: Light) -> float:
+    """Publish 200 changes in a second; gives the seconds until the last one was in force everywhere."""
+    for number in range(BURST):
+        fleet.later(number * SECOND // BURST, fleet.take, 0, _change(number))
+    goal = fleet.parts[0].head.number + BURST
+    fleet.run(1)
+    begun = fleet.now
+    fleet.run(PLAYED, lambda: fleet.parts[0].head.number == goal and fleet.same())
+    return (max(fleet.force) - begun) / SECOND if fleet.same() else float("inf")
+
+
+def _joined(fleet: Light) -> float:
+    """Cut the last region off for five minutes of changes; gives the seconds from the join to one head."""
+    fleet.cut = {REGIONS - 1}
+    for number in range(CUT):
+        fleet.later(number * SECOND // 10, fleet.take, 0, _change(number))
+    fleet.run(CUT / 10 + 6)
+    cut = {fleet.parts[number].head for number in fleet.regions[REGIONS - 1]}
+    if fleet.parts[0].head in cut:
+        raise RuntimeError("a change came through the cut")
+    fleet.cut, begun = set(), fleet.now
+    fleet.run(PLAYED, fleet.same)
+    return (max(fleet.force) - begun) / SECOND if fleet.same() else float("inf")
+
+
+def _word_bytes() -> int:
+    """Give the bytes that the head makes a word longer, after some years of changes."""
+    told = Kind.PING, "g", 1, 0, 1, 1
+    encode, head = msgspec.msgpack.encode, (20_000, 4_000_000, 0xFFFFFFFF)
+    return len(encode(HeadedWord(*told, "", -1, (), "", *head))) - len(encode(Word(*told)))
+
+
+def _head_heard() -> float:
+    """Give the s of processor time that a word with the head in force costs `Revisions`."""
+    stored = Stored(Head(1, 1, digest_of(FIRST)), FIRST)
+    part = Revisions(stored, check, random.Random(1), 10)
+    part.begin(0)
+    part._start.over = True
+    word, times = HeadHeard("g1", 1, 1, stored.head.mark), 20_000
+    begun = time.process_time()
+    for _ in range(times):
+        part.take(1, word)
+    return (time.process_time() - begun) / times
+
+
+def _real(count: int, seed: int) -> float:
+    """Give the seconds of a change's spread with all of `Members`, in three regions."""
+    net = Spread(count, seed, REGIONS)
+    net.run(6)
+    net.take_over("g0")
+    net.run(PLAYED)
+    took = []
+    for number in range(5):
+        begun = net.now
+        net.publish(_change(number))
+        net.run(PLAYED)
+        if not net.same():
+            raise RuntimeError("with real members a change is not in force everywhere")
+        took.append(max(each[-1][0] for each in net.force.values()) - begun)
+    return max(took) / SECOND
+
+
+def rows(sizes: tuple[int, ...], seeds: tuple[int, ...]) -> list[Row]:
+    """Measure at these numbers of gateways; sizes under six have no three regions of two and are refused."""
+    if min(sizes) < 2 * REGIONS:
+        raise ValueError(f"{min(sizes)} gateways are no {REGIONS} regions of two")
+    out: list[Row] = []
+    word, heard = _word_bytes(), _head_heard()
+
+    def put(figure: str, unit: str, value: float, parts: str = "hollow", note: str = "") -> None:
+        told = f"configuration.{figure}", unit, "gateways", size, value, seed
+        out.append(Row(*told, parts=parts, note=note))
+
+    for size, seed in itertools.product(sizes, seeds):
+        fleet = Light(size, seed)
+        fleet.run(1)
+        spreads, pulls, moved, spent = [], fleet.pulls, fleet.bytes, fleet.spent
+        for _ in range(5):
+            spreads.append(_spread(fleet))
+        each = 5 * size
+        pulled = (fleet.pulls - pulls) / each
+        put("spread", "s", max(last for last, _ in spreads), note="the longest of five changes")
+        half = statistics.median(half for _, half in spreads)
+        put("spread_half", "s", half, note="at half of the gateways, the median of five changes")
+        put("pulls", "count", pulled, note="questions a gateway a change, with those abroad meanwhile")
+        a_change = (fleet.bytes - moved) / each
+        abroad = REGIONS * SECOND / ABROAD_EVERY / size * (fleet.bytes - moved) / (fleet.pulls - pulls)
+        sent = WORDS * word + a_change * A_DAY + abroad
+        put("bytes", "B/s", sent, note="sent, at 11,000 a day; as much is received")
+        core = (fleet.spent - spent) / each
+        put("change", "ms", 1e3 * core, note="of processor time, a gateway a change, the check left out")
+        put("core", "% core", 100 * (WORDS * heard + core * A_DAY), note="at 11,000 a day")
+        put("burst", "s", _burst(fleet), note="200 in a second, from the last one on")
+        put("joined", "s", _joined(fleet), note=f"one of three regions cut off, {CUT} changes behind")
+        if size <= 50:
+            put(
+                "spread", "s", _real(size, seed), "real", "the longest of five changes, with all of `Members`"
+            )
+    return out
--- a/mintmast/lab/stage.py
+++ b/mintmast/lab/stage.py
@@ -29,6 +29,7 @@
 ACCESS = {"kty": "oct", "kid": "viewers-1", "alg": "HS256", "k": SECRET}
 SESSION = {"kty": "oct", "kid": "sessions-1", "alg": "HS256", "k": SECRET[::-1].replace("=", "A")}
 HOST_PORT, GATEWAY_PORT, REGISTRY_PORT, PEER_PORT = 9000, 8080, 8761, 7946
+ADMIN_PORT = 9101
 
 
 class Stage:
@@ -50,6 +51,7 @@
         self.secrets = [SECRET]
         self.stores = False  # whether gateways keep records over their death
         self.flush = FLUSH
+        self.shares = False  # whether gateways share settings
         self._moved: dict[int, str] = {}  # machines of gateways that are not where the settings say
         self._draw = random.Random(f"{seed}/answers")
 
@@ -107,7 +109,16 @@
         told: dict[str, Any] = {"members": members, "secrets": list(self.secrets)}
         if number in self._moved:
             told["advertise"] = self.own_place(number)
-        return {"peers": told}
+        if not self.shares:
+            return {"peers": told}
+        path = os.path.join(self.folder.name, f"{self.machine(number)}.shared")
+        host, port = self.admin_place(number)
+        admin = {"host": host, "port": port, "token": SECRET}
+        return {"peers": told, "configuration": {"path": path, "publish": True}, "admin": admin}
+
+    def admin_place(self, number: int) -> tuple[str, int]:
+        """Give a gateway's administrative address."""
+        raise NotImplementedError
 
     def machine(self, number: int) -> str:
         """Name the machine of a gateway: that of the settings, or where it has moved."""
@@ -270,6 +281,10 @@
         self.world.nodes[old].kill()
         self.record("gateway_started", gateway=f"gw{number}")
 
+    def admin_place(self, number: int) -> tuple[str, int]:
+        """Give a port of the gateway's node."""
+        return self.machine(number), ADMIN_PORT
+
     def own_place(self, number: int) -> str:
         """Give the new node."""
         return f"{self.machine(number)}:{PEER_PORT}"
--- a/mintmast/peers/lines.py
+++ b/mintmast/peers/lines.py
@@ -16,6 +16,8 @@
 import msgspec
 
 from mintmast.core.ports import PeerEvents
+from mintmast.decisions.gateways.revising import AskRevisions, Pulled, PullFailed, Question
+from mintmast.decisions.gateways.revising import Reply as Revised
 from mintmast.decisions.gateways.talk import (
     AsideTold,
     Known,
@@ -57,6 +59,7 @@
     aside: tuple[str, ...] | None = None
     version: int = 0
     to: int = 0
+    revisions: Question | None = None
 
 
 class Answer(msgspec.Struct, omit_defaults=True):
@@ -71,6 +74,7 @@
     covered: tuple[str, ...] = ()
     version: int = -1
     before: int = 0
+    revisions: Revised | None = None
 
 
 class PeerLines:
@@ -97,7 +101,9 @@
         self._list = hashlib.blake2b(" ".join(sorted(members)).encode(), digest_size=8).hexdigest()
         self._events = events
         self.roster: Callable[[bytes], bytes | None] | None = None  # answers words of membership
-        self._out = dict.fromkeys(members, 0)
+        # answers questions for revisions; None where settings have no `configuration`
+        self.revisions: Callable[[Question], Revised | None] | None = None
+        self._out: dict[str | Address, int] = dict.fromkeys(members, 0)
         self._client = HttpClient(loop, ClientLimits(idle_each=32, body_bytes=1 << 20), f"mintmast/{gateway}")
         limits = ServerLimits(
             connections=64 * (len(members) + 1), body_bytes=CALL_BYTES, idle_time=60_000_000
@@ -147,11 +153,31 @@
         body = self._body(aside=call.names, version=call.version, to=call.to)
         self._call(call.peer, body, call.until, done)
 
+    def ask_revisions(
+        self, place: str | Address, call: AskRevisions, take: Callable[[Pulled | PullFailed], None]
+    ) -> None:
+        """Ask a gateway, by name or by address, for revisions; `take` hears once, never before this returns.
+
+        Its list of members is not asked for: configuration must reach gateways whose lists differ.
+        """
+
+        def done(answer: Answer | None) -> None:
+            told = None if answer is None else answer.revisions
+            take(PullFailed(call.call) if told is None else Pulled(call.call, told))
+
+        if isinstance(place, str) and place not in self._members:
+            self._loop.call_soon(done, None)
+            return
+        self._call(place, Body(self._owner, self._loop.wall(), "", revisions=call.question), call.until, done)
+
     def _body(self, **more: Any) -> Body:
         return Body(self._owner, self._loop.wall(), self._list, **more)
 
-    def _call(self, peer: str, body: Body, until: int, done: Callable[[Answer | None], None]) -> None:
-        if self._out[peer] >= MOST_OUT:
+    def _call(
+        self, peer: str | Address, body: Body, until: int, done: Callable[[Answer | None], None]
+    ) -> None:
+        address = self._members[peer] if isinstance(peer, str) else peer
+        if self._out.setdefault(peer, 0) >= MOST_OUT:
             self._loop.call_soon(done, None)
             return
         self._out[peer] += 1
@@ -163,7 +189,7 @@
             done(self._answer(reply, mac))
 
         headers = [("Content-Type", "application/json"), (MAC, mac)]
-        self._client.call(self._members[peer], "POST", PATH, ended, headers, data, until)
+        self._client.call(address, "POST", PATH, ended, headers, data, until)
 
     def _answer(self, reply: Reply | Fault, mac: str) -> Answer | None:
         if isinstance(reply, Fault) or reply.status != 200:
@@ -209,6 +235,8 @@
             return
         if abs(body.at - self._loop.wall()) > self._skew:
             exchange.problem(401, "the call is too old, or clocks differ too much")
+        elif body.revisions is not None:
+            self._tell(exchange, body.revisions, mac)
         elif body.members != self._list or body.owner.partition("/")[0] not in self._members:
             exchange.problem(409, "the list of gateways is another one here")
         elif body.learn is None and body.aside is None and not body.digest:
@@ -226,7 +254,17 @@
             return
         records = tuple((digest, owner, number, keep // 1000) for digest, owner, number, keep in told.records)
         more = told.more, told.without, self._start, told.unready, told.covered, told.version, told.before
-        data = msgspec.json.encode(Answer(told.vote.value, records, *more))
+        self._send(exchange, Answer(told.vote.value, records, *more), mac)
+
+    def _tell(self, exchange: Exchange, question: Question, mac: str) -> None:
+        told = None if self.revisions is None else self.revisions(question)
+        if told is None:
+            exchange.problem(400, "no question, or no configuration is shared here")
+        else:
+            self._send(exchange, Answer(revisions=told), mac)
+
+    def _send(self, exchange: Exchange, answer: Answer, mac: str) -> None:
+        data = msgspec.json.encode(answer)
         signed = self._mac(self._secrets[0], mac.encode() + data)
         exchange.respond(200, [("Content-Type", "application/json"), (MAC, signed)], data)
 
--- a/mintmast/peers/roster.py
+++ b/mintmast/peers/roster.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from mintmast.decisions.gateways.members import PERIOD, Members
+from mintmast.decisions.gateways.revising import HeadHeard
 from mintmast.decisions.gateways.roll import (
     Changed,
     Event,
@@ -30,7 +31,7 @@
 )
 from mintmast.decisions.gateways.standing import CONCLUSIONS
 from mintmast.decisions.gateways.talk import Condemned, PeerStands
-from mintmast.decisions.gateways.words import Kind, Word
+from mintmast.decisions.gateways.words import HeadedWord, Kind, Word
 from mintmast.http.client import Address, ClientLimits, Fault, HttpClient, Reply
 from mintmast.loop import Loop
 
@@ -49,6 +50,11 @@
     return host, int(port)
 
 
+def _revision(told: tuple[int, int, int]) -> str:
+    term, number, mark = told
+    return f"{term}.{number}/{mark:08x}"
+
+
 class Roster:
     """Carries one gateway's `Members`. `members` are all gateways with their addresses, `listen` its own.
 
@@ -78,6 +84,8 @@
             gateway, start, tuple(sorted(members)), random.Random(f"{seed}/members"), place
         )
         self.malformed = self.unsealed = 0
+        # hears which configuration others have in force; set before the first word is waited for
+        self.heads: Callable[[HeadHeard], None] | None = None
         self._reply: tuple[str, bytes] | None = None
         self._client = HttpClient(loop, ClientLimits(idle_each=1, body_bytes=4096), f"mintmast/{gateway}")
         self._port = loop.datagrams(*listen, self._came)
@@ -98,6 +106,9 @@
                 stands, by = command.proof.value, list(command.by)
                 self._say("member", name=command.name, stands=stands, start=command.start, by=by)
                 self._tell(PeerStands(command.name, command.proof, command.start))
+            elif isinstance(command, HeadHeard):
+                if self.heads is not None:
+                    self.heads(command)
             elif isinstance(command, Moved):
                 self._move(command)
             elif isinstance(command, Noted):
@@ -173,7 +184,7 @@
             self.unsealed += 1
             return None
         try:
-            return msgspec.msgpack.decode(body, type=Word)
+            return msgspec.msgpack.decode(body, type=HeadedWord)
         except (msgspec.MsgspecError, RecursionError):
             self.malformed += 1
             return None
@@ -217,6 +228,7 @@
                     "heard_s": None if each.heard_at is None else round((now - each.heard_at) / 1e6, 1),
                     "path": each.way.value,
                     "observers": sorted(each.observers),
+                    **({} if each.revision is None else {"revision": _revision(each.revision)}),
                 }
                 for name, each in part.others.items()
             },
--- a/mintmast/process.py
+++ b/mintmast/process.py
@@ -39,7 +39,7 @@
     loop._on_error = lambda text: say("error", text=text)
     try:
         gateway = Gateway(loop, config, None, say, table, store)
-    except (TokenError, OSError) as error:
+    except (ConfigError, TokenError, OSError) as error:
         print(f"mintmast: {error}", file=sys.stderr)
         return 2
     loop.on_turn = lambda took: gateway.metrics.turn_time.observe(took / 1e6)
--- a/mintmast/sources/fixed.py
+++ b/mintmast/sources/fixed.py
@@ -33,6 +33,11 @@
         if self.saved is not None:
             self.saved.save(self.entries)
 
+    def change(self, entries: tuple[ListEntry, ...]) -> None:
+        """Take another list; who is not on it any more is gone."""
+        self.entries, self.version = entries, self.version + 1
+        self.refresh()
+
     def refuses(self, server: bytes, refuses: bool) -> None:
         """Nothing: the settings are not in doubt."""
 
--- a/mintmast/telemetry/metrics.py
+++ b/mintmast/telemetry/metrics.py
@@ -15,6 +15,18 @@
 _TURN_BUCKETS = (0.0001, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.05, 0.25)
 
 
+# gauges of the shared settings, where they are shared
+_CONFIGURATION = {
+    "term": "term of the revision in force",
+    "number": "number of the revision in force",
+    "refused": "revisions refused as not good since the start",
+    "forks": "numbers that name two documents, seen since the start",
+    "behind_seconds": "time since a later revision was first told, 0 where none is",
+    "publisher": "1 where it numbers revisions",
+    "misfit": "1 where the revision in force does not suit this gateway's own settings",
+}
+
+
 class Metrics:
     """What a gateway counts, fed by its log events; `text` gives the exposition format."""
 
@@ -63,10 +75,21 @@
         self.unsettled = Gauge(
             "mintmast_unsettled", "paid sessions of earlier lives not settled yet", registry=self.registry
         )
+        self._configuration: dict[str, Gauge] = {}
         self.waits_for = Gauge(
             "mintmast_witness_waits_for", "gateways whose word it waits for to vote", registry=self.registry
         )
 
+    def configuration(self, told: dict[str, Any]) -> None:
+        """Take the state of the shared settings; the first call makes the gauges."""
+        if not self._configuration:
+            for name, about in _CONFIGURATION.items():
+                gauge = Gauge(f"mintmast_configuration_{name}", about, registry=self.registry)
+                self._configuration[name] = gauge
+        told = {**told, "refused": told["dropped"]["refused"], "behind_seconds": told["behind_s"] or 0}
+        for name, gauge in self._configuration.items():
+            gauge.set(bool(told[name]) if name == "misfit" else told[name])
+
     def store(self, failing: str, size: tuple[int, int]) -> None:
         """Take whether records can be written, the file's bytes, and those of them that hold nothing."""
         self.store_failing.set(bool(failing))
