The publisher's process tests wait until a gateway that started anew has heard the others

Observed in a run of the whole suite on a busy machine: the set-up of test_the_publisher_dies... published at gw0, which the case before had restarted, and got its 409 for a gateway that has just started; the refusal is right (rule 7). The set-up waits for settled; nothing is eased.

--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -128,8 +128,10 @@
 @pytest.fixture
 def rig(started):
     """Give the rig with one publisher, gw0, and one head at all."""
-    # two who take over unknown to each other: one of them loses what it numbers
+    # two who take over unknown to each other: one of them loses what it numbers; and one that the case before
+    # has started anew takes no orders before it has heard the others
     started.until(lambda: len({started.head(n) for n in ALL}) == 1 and started.head(0))
+    started.until(lambda: all(started.state(n)["settled"] for n in ALL))
     if not started.state(0)["publisher"]:
         started.take_over(0)
     started.one_head(started.publish(0))
