A key's witnesses are worked out once a gateway, not once for each gateway that learns

Change: Rendezvous keeps the witnesses of the last 32,768 keys; the same hash as before, a test compares.

--- a/mintmast/decisions/gateways/claims.py
+++ b/mintmast/decisions/gateways/claims.py
@@ -23,7 +23,7 @@
 from itertools import combinations
 
 from mintmast.decisions.gateways.talk import Known, SendClaim, SendRelease, Vote, Voted
-from mintmast.decisions.gateways.witness import KEPT, LONGEST, digest_of, witnesses_of
+from mintmast.decisions.gateways.witness import KEPT, LONGEST, Rendezvous, digest_of
 from mintmast.decisions.gateways.witnessing import CLAIM_TIME, Witnessing
 from mintmast.decisions.messages import Wake
 
@@ -111,10 +111,11 @@
         emit: Callable[[object], None],
         decided: Callable[[int, int, str], None],
     ) -> None:
-        self._gateway, self._start, self._members = gateway, start, members
+        self._gateway, self._start = gateway, start
+        self._keys = Rendezvous(members)
         self._owner = f"{gateway}/{start:x}"
         self._emit, self._decided = emit, decided
-        self.part = Witnessing(gateway, start, members, emit, self._own)
+        self.part = Witnessing(gateway, start, self._keys, emit, self._own)
         self._claims: dict[int, _Claim] = {}  # by session
         self._by_number: dict[int, _Claim] = {}
         # digest: owner (this life or one before), number, until when others may need to know
@@ -124,7 +125,7 @@
     @property
     def on(self) -> bool:
         """Tell whether keys are claimed at all."""
-        return bool(self._members)
+        return bool(self._keys.members)
 
     # As a claimant
 
@@ -149,7 +150,7 @@
         self._number += 1
         claim.number, claim.stage, claim.asked_at = self._number, Stage.ASKING, now
         claim.tries += 1
-        witnesses = witnesses_of(claim.digest, self._members)
+        witnesses = self._keys.of(claim.digest)
         claim.votes, claim.granted = dict.fromkeys(witnesses), {}
         self._by_number[claim.number] = claim
         others = sorted((each for each in witnesses if each != self._gateway), key=self._first)
@@ -265,7 +266,7 @@
         """Release what an earlier life owned, as its session provably never ran."""
         owner, number, _ = self._owned.pop(digest, ("", 0, 0))
         if owner:
-            self._release(now, digest, owner, number, witnesses_of(digest, self._members))
+            self._release(now, digest, owner, number, self._keys.of(digest))
 
     def _own(self, now: int) -> dict[str, Known]:
         """Give the keys that this gateway owns."""
--- a/mintmast/decisions/gateways/witness.py
+++ b/mintmast/decisions/gateways/witness.py
@@ -25,6 +25,8 @@
 # records of one witness: an hour of 100 paid sessions a second and as much again; some 200 MB. A witness that
 # is full does not vote
 MOST_RECORDS = 720_000
+# keys whose witnesses are kept: some 6 MB of the 64 for control, and the keys of an hour at nine a second
+MOST_PLACED = 32_768
 # records in one answer to a witness that learns: some 60 kB
 LEARNT_AT_ONCE = 500
 # owner of a record of which two gateways tell different things; no gateway's name
@@ -85,6 +87,27 @@
     return tuple(sorted(members, key=weight)[:WITNESSES])
 
 
+class Rendezvous:
+    """Who witnesses each key among these members; those of the last keys that were asked for are kept.
+
+    A key's witnesses are a hash a member. One key is asked for again at its vote, its release and by each
+    gateway that learns; each of those asks for all keys, and a start cost others times keys times members.
+    """
+
+    def __init__(self, members: tuple[str, ...]) -> None:
+        self.members = members
+        self._last: dict[str, tuple[str, ...]] = {}
+
+    def of(self, digest: str) -> tuple[str, ...]:
+        """Give a key's witnesses."""
+        found = self._last.get(digest)
+        if found is None:
+            found = self._last[digest] = witnesses_of(digest, self.members)
+            if len(self._last) > MOST_PLACED:
+                del self._last[next(iter(self._last))]
+        return found
+
+
 class Witness:
     """One gateway's memory as a witness; `owner` names are gateway and start, `keep` is in µs."""
 
--- a/mintmast/decisions/gateways/witnessing.py
+++ b/mintmast/decisions/gateways/witnessing.py
@@ -20,7 +20,7 @@
     PeerStands,
     Vote,
 )
-from mintmast.decisions.gateways.witness import LEARNT_AT_ONCE, Witness, witnesses_of
+from mintmast.decisions.gateways.witness import LEARNT_AT_ONCE, Rendezvous, Witness
 from mintmast.decisions.messages import Say, Wake
 
 SECOND = 1_000_000
@@ -43,11 +43,12 @@
         self,
         gateway: str,
         start: int,
-        members: Names,
+        keys: Rendezvous,
         emit: Callable[[object], None],
         own: Callable[[int], dict[str, Known]],
     ) -> None:
-        self._gateway, self._start, self._members = gateway, start, members
+        self._gateway, self._start, self._keys = gateway, start, keys
+        members = self._members = keys.members
         self._emit, self._own = emit, own
         self.witness = Witness()
         self.keeper = Keeper(emit)
@@ -79,7 +80,7 @@
         then: Callable[[int, Vote, Names], None],
     ) -> None:
         """Vote on a claim; `then(now, vote, without whom)` hears of it once it is durable."""
-        witnesses = witnesses_of(digest, self._members)
+        witnesses = self._keys.of(digest)
         others = tuple(each for each in witnesses if each != self._gateway)
         if self.condemned or self._gateway not in witnesses or not self.covers.ready(others):
             then(now, Vote.NONE, ())
@@ -178,7 +179,7 @@
     def learnt(self, now: int, event: Learnt) -> None:
         """Take what another gateway knows."""
         for digest, owner, number, keep in event.records:
-            if self._gateway in witnesses_of(digest, self._members):
+            if self._gateway in self._keys.of(digest):
                 self.witness.learn(now, digest, owner, number, keep)
                 self._save(now, digest)
         self.covers.learnt(now, event)
@@ -244,7 +245,7 @@
         """Give what this gateway owns or has granted of the asker's keys, in one order over all calls."""
 
         def wanted(digest: str) -> bool:
-            return asker in witnesses_of(digest, self._members)
+            return asker in self._keys.of(digest)
 
         known = {each[0]: each for each in self.witness.known(now, after, wanted)}
         mine = self._own(now)
--- a/mintmast/lab/scale/peers.py
+++ b/mintmast/lab/scale/peers.py
@@ -22,7 +22,7 @@
 from mintmast.decisions.gateways.members import Members
 from mintmast.decisions.gateways.records import Recovered
 from mintmast.decisions.gateways.standing import Proof
-from mintmast.decisions.gateways.witness import digest_of, witnesses_of
+from mintmast.decisions.gateways.witness import Rendezvous, digest_of, witnesses_of
 from mintmast.decisions.gateways.witnessing import Witnessing
 from mintmast.lab.scale.record import Row
 from mintmast.lab.scale.tapped import SECOND, bench, claim_often, names_of, start
@@ -79,7 +79,7 @@
     for name in names[1:]:
         part.others[name].placed = 0
     memory = tracemalloc.get_traced_memory()[0]
-    witness = Witnessing(names[0], 1, names, lambda command: None, lambda now: {})
+    witness = Witnessing(names[0], 1, Rendezvous(names), lambda command: None, lambda now: {})
     more = tracemalloc.get_traced_memory()[0] - memory
     tracemalloc.stop()
     del part, witness
@@ -87,7 +87,7 @@
     row("witness.memory", "MB", more / 1e6, "`Witnessing` alone, no records")
     began = time.process_time_ns()
     Members(names[0], 1, names, random.Random(seed)).begin(0)
-    Witnessing(names[0], 1, names, lambda command: None, lambda now: {})
+    Witnessing(names[0], 1, Rendezvous(names), lambda command: None, lambda now: {})
     row("membership.build", "ms", (time.process_time_ns() - began) / 1e6, "`Members` and `Witnessing`")
 
 
@@ -181,7 +181,7 @@
     names = names_of(size)
     for figure, kept in (("witness.look", True), ("witness.look.learnt", False)):
         asked: list[Any] = []
-        part = Witnessing(names[0], 10, names, asked.append, lambda now: {})
+        part = Witnessing(names[0], 10, Rendezvous(names), asked.append, lambda now: {})
         now = 1000 * SECOND
         part.begin_learning(now, Recovered(life=5, marked=True) if kept else None)
         part._apart, part.covers.begun = 0, True
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -577,3 +577,24 @@
 
 if __name__ == "__main__":  # the whole walk, with losses: some minutes
     print(len(walk((1, 1), losses=True)), "states")
+
+
+def test_a_key_is_placed_once_for_all_who_ask_and_as_it_was(monkeypatch):
+    members, placed = tuple(f"g{n}" for n in range(20)), []
+    plain = witness.witnesses_of
+    monkeypatch.setattr(witness, "witnesses_of", lambda *key: placed.append(key[0]) or plain(*key))
+    monkeypatch.setattr(witness, "MOST_PLACED", 50)
+    keys = witness.Rendezvous(members)
+    claims = Claims("g0", 1, members, lambda command: None, lambda *told: None)
+    digests = [witness.digest_of(str(n)) for n in range(40)]
+    for each in digests:
+        assert keys.of(each) == plain(each, members)
+        claims.part.witness.vote(0, each, "g1/1", 1, SECOND)
+    before = len(placed)
+    for asker in members[1:]:
+        claims.part.called(0, talk.PeerCall(1, f"{asker}/1", learn=""))
+    assert len(placed) - before == len(digests)
+    for n in range(200):  # and what is kept is bounded, the oldest going first
+        keys.of(witness.digest_of(f"more {n}"))
+    assert len(keys._last) == 50 and digests[0] not in keys._last
+    assert keys.of(digests[0]) == plain(digests[0], members)
