Membership: a tick costs the same at any size, and one that was lost is not met by all at once

Change: sets of those suspected and lost are kept as standings change; some twelve of a region probe a suspected one early; lost ones get one probe a period of all the region's, after a gateway's own first round.

--- a/mintmast/decisions/gateways/members.py
+++ b/mintmast/decisions/gateways/members.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 import random
 from collections import deque
@@ -70,8 +71,13 @@
 HEARD_ENOUGH = 5
 # steps of own slowness, each of which makes time-outs longer by one: Lifeguard's bound
 MOST_SLOW = 8
-# of so many probes one goes to a gateway that is not reached, so that its return is noticed
-RETURN_EVERY = 4
+# of so many probes at the most one goes to a gateway that is not reached, so that its return is noticed; and
+# of all the region's in a period so many go to each of them, once this one has been through its first round.
+# Danger: were it always one in four, a machine that comes back has words of thousands in its first second
+RETURN_EVERY, RETURNS = 4, 1.0
+# who probe a gateway before its turn where somebody suspects it, some of all: the observers that it takes,
+# and some more as a few are late. Danger: all who hear of it at once, and it is one that was only slow
+VERIFIERS = 12
 # answers in a row after which a path that was broken counts as whole again, so that a flapping one does not
 WHOLE_AFTER = 4
 
@@ -95,6 +101,10 @@
         self.name, self.own, self._random = name, Standing(start, 0, State.ALIVE), rng
         self._place = place
         self.others = {each: Member(each) for each in sorted(names) if each != name}
+        self._names = tuple(self.others)
+        self._suspects: dict[str, None] = {}
+        self._lost = dict.fromkeys(self._names)  # those neither alive nor suspected
+        self._returns = 0.0  # probes of those that are due
         self.slow = 0
         self.condemned = ""  # why this process must not act under its name any more
         self.dropped = dict.fromkeys(("foreign", "old", "doubled", "bad state"), 0)
@@ -109,7 +119,6 @@
         self._next: deque[str] = deque(maxlen=64)  # suspected by others, to be probed before the rest
         self._hot: dict[str, int] = {}  # news to be passed on, and how often it was
         self._slice = 0
-        self._periods = 0
         self._due = 0
         self._out: list[Command] = []
 
@@ -231,19 +240,18 @@
         if told > member.standing:
             member.observers = set()
             self._set(now, member, told, Proof.SILENT)
-            self._next.append(member.name)
+            if self._random.random() * len(self.others) < VERIFIERS:
+                self._next.append(member.name)
         if by not in ("", member.name, *member.observers) and len(member.observers) < OBSERVERS:
             member.observers.add(by)
             self._hot[member.name] = 0
 
     def _confirm(self, now: int) -> None:
         """Take those for unreachable of whom enough observers hear nothing, for long enough."""
-        alive = 1 + sum(each.standing.state is State.ALIVE for each in self.others.values())
+        alive = 1 + len(self.others) - len(self._suspects) - len(self._lost)
         if self._wait is not None:
             return
-        for member in self.others.values():
-            if member.standing.state is not State.SUSPECTED:
-                continue
+        for member in [self.others[each] for each in self._suspects]:
             if len(member.observers) >= min(OBSERVERS, alive):
                 if now - member.since >= SUSPECTED_FOR * (1 + self.slow):
                     told = replace(member.standing, state=State.UNREACHABLE)
@@ -252,7 +260,6 @@
     # Probes
 
     def _begin_probe(self, now: int) -> None:
-        self._periods += 1
         target = self._target()
         if target is None:
             return
@@ -268,9 +275,12 @@
             name = self._next.popleft()
             if self.others[name].standing.state is State.SUSPECTED:
                 return name
-        lost = [each.name for each in self.others.values() if not self._there(each)]
-        if lost and (self._periods % RETURN_EVERY == 0 or len(lost) == len(self.others)):
-            return self._random.choice(lost)
+        lost = self._lost
+        few = RETURNS * len(lost) / max(1, len(self.others))
+        self._returns += min(1 / RETURN_EVERY, few if self._number > len(self.others) else 1.0)
+        if lost and (self._returns >= 1 or len(lost) == len(self.others)):
+            self._returns = max(0.0, self._returns - 1)
+            return self._random.choice(tuple(lost))
         while self._order:
             name = self._order.pop()
             if self._there(self.others[name]):
@@ -363,12 +373,12 @@
         if self.others[to].proof is not Proof.HEARD and self.others[to].standing.start:
             names[to] = None
         times = SPREAD * math.ceil(math.log2(len(self.others) + 2))
-        for name in sorted(self._hot, key=self._hot.__getitem__)[: MOST_NEWS - len(names)]:
+        for name in heapq.nsmallest(MOST_NEWS - len(names), self._hot, key=self._hot.__getitem__):
             names[name] = None
             self._hot[name] += 1
             if self._hot[name] >= times:
                 del self._hot[name]
-        all_ = list(self.others)
+        all_ = self._names
         for _ in range(min(len(all_), MOST_NEWS - len(names))):
             self._slice = (self._slice + 1) % len(all_)
             names[all_[self._slice]] = None
@@ -517,6 +527,12 @@
     def _set(self, now: int, member: Member, standing: Standing, proof: Proof) -> None:
         changed = proof is not member.proof or standing.start != member.standing.start
         member.standing, member.proof = standing, proof
+        self._suspects.pop(member.name, None)
+        self._lost.pop(member.name, None)
+        if not self._there(member):
+            self._lost[member.name] = None
+        elif standing.state is State.SUSPECTED:
+            self._suspects[member.name] = None
         self._hot[member.name] = 0
         if changed:
             member.since = now
