Words of membership: few where all hold the same, and nothing passed on that all know

Change: a word carries 32 bits of digest over how its sender holds all to stand. Old news goes, and probes go each 150 ms, only while somebody was heard within a second who tells another digest, or there is news or a suspicion; otherwise a probe goes each 500 ms. An answer's old news begins by its question's number, so that one that starts hears all once and not some again and again. Gateways of before read these words, and make their readers pass all on.

--- a/mintmast/decisions/gateways/members.py
+++ b/mintmast/decisions/gateways/members.py
@@ -44,14 +44,23 @@
     refused,
     refuted,
 )
-from mintmast.decisions.gateways.words import MOST_NEWS, BringingWord, HeadedWord, Kind, News, Word, head_of
+from mintmast.decisions.gateways.words import (
+    MOST_NEWS,
+    BringingWord,
+    Kind,
+    News,
+    TabledWord,
+    Word,
+    head_of,
+    mark_of,
+)
 
 MS, SECOND = 1000, 1_000_000
 # µs that a probe has in all, first itself and then through others; half a second finds a loss within the time
 # that a paid viewer waits
 PERIOD = 500 * MS
 # µs for an answer before others are asked: a round trip in a region and a turn of a busy loop. The next probe
-# goes after so long where the last was answered, and after a whole period where it was not
+# goes after so long where the last was answered and there is news, and after a whole period otherwise
 ANSWER = 150 * MS
 # who are asked to probe in this gateway's place, as in SWIM: with a fifth of all datagrams lost, all three
 # fail for a gateway that is well once in fourteen times
@@ -69,6 +78,12 @@
 # others to be heard after a stand-still, where half of the region is more: what they say is all the region's
 # news, and so many do not all share one cut
 HEARD_ENOUGH = 5
+# µs after a word of one who holds the region to stand otherwise in which all is passed on in turn, and probes
+# go fast: the next such word comes sooner, if they still differ
+APART = 2 * PERIOD
+# how much further an answer's old news begins for each question: some fewer than a word takes, as what is new
+# goes first
+STRIDE = 8
 # steps of own slowness, each of which makes time-outs longer by one: Lifeguard's bound
 MOST_SLOW = 8
 # of so many probes at the most one goes to a gateway that is not reached, so that its return is noticed; and
@@ -78,6 +93,8 @@
 # who probe a gateway before its turn where somebody suspects it, some of all: the observers that it takes,
 # and some more as a few are late. Danger: all who hear of it at once, and it is one that was only slow
 VERIFIERS = 12
+# a word's fields that tell no head and bring nothing; see `words.HeadedWord`
+NO_HEAD = -1, 0, 0, ()
 # answers in a row after which a path that was broken counts as whole again, so that a flapping one does not
 WHOLE_AFTER = 4
 
@@ -104,7 +121,6 @@
         self._names = tuple(self.others)
         self._suspects: dict[str, None] = {}
         self._lost = dict.fromkeys(self._names)  # those neither alive nor suspected
-        self._returns = 0.0  # probes of those that are due
         self.slow = 0
         self.condemned = ""  # why this process must not act under its name any more
         self.dropped = dict.fromkeys(("foreign", "old", "doubled", "bad state"), 0)
@@ -119,6 +135,9 @@
         self._next: deque[str] = deque(maxlen=64)  # suspected by others, to be probed before the rest
         self._hot: dict[str, int] = {}  # news to be passed on, and how often it was
         self._slice = 0
+        self._table = mark_of(name, self.own)
+        self._apart = 0  # µs until when others are taken to hold the region to stand otherwise
+        self._rested = False
         self._due = 0
         self._out: list[Command] = []
 
@@ -185,7 +204,10 @@
             self._stood_still(now)
         elif self._probe is not None and not self._probe.asked:
             self._ask_others(now)
+        elif self._probe is None and not self._rested and self._calm(now):
+            self._rested = True
         else:
+            self._rested = False
             self._judge(now)
             self._confirm(now)
             self._listen()
@@ -194,6 +216,16 @@
         span = (ANSWER if first else PERIOD - ANSWER) * (1 + self.slow)
         self._wake(now + span)
 
+    def _calm(self, now: int) -> bool:
+        """Tell whether there is nothing to pass on and nobody to look after.
+
+        Danger: thirteen words a second, each filled with what the reader knows already, are one and a half
+        times the bytes that all control may cost. May hurt: a loss meets its first probe later, by up to a
+        period over as many as probe.
+        """
+        busy = self._hot or self._suspects or self.slow or self._wait is not None
+        return not busy and now >= self._apart
+
     def _stood_still(self, now: int) -> None:
         """Take it that this process stood still: what others did meanwhile is not known.
 
@@ -276,11 +308,12 @@
             if self.others[name].standing.state is State.SUSPECTED:
                 return name
         lost = self._lost
-        few = RETURNS * len(lost) / max(1, len(self.others))
-        self._returns += min(1 / RETURN_EVERY, few if self._number > len(self.others) else 1.0)
-        if lost and (self._returns >= 1 or len(lost) == len(self.others)):
-            self._returns = max(0.0, self._returns - 1)
-            return self._random.choice(tuple(lost))
+        if lost:
+            few = RETURNS * len(lost) / len(self.others) if self._number > len(self.others) else 1.0
+            # drawn, not counted: all have known of the loss for as long, and would come back to it together
+            due = self._random.random() < min(1 / RETURN_EVERY, few)
+            if due or len(lost) == len(self.others):
+                return self._random.choice(tuple(lost))
         while self._order:
             name = self._order.pop()
             if self._there(self.others[name]):
@@ -352,23 +385,27 @@
         heard: Word | None = None,  # what it answers
     ) -> None:
         self.words += 1
-        own, news = self.own, () if kind == Kind.ACK and not number else self._news(to)
+        own, news = self.own, () if kind == Kind.ACK and not number else self._news(now, to, kind, number)
         told = kind, self.name, own.start, own.incarnation, self.words, number, about, gap, news, self._place
-        word = self._headed(now, to, told, heard) or Word(*told)
+        word = TabledWord(*told, *self._headed(now, to, kind, heard), self._table)
         self._out.append(SendWord(to, word, sure, self.others[to].standing.start, now))
 
-    def _headed(self, now: int, to: str, told: tuple, heard: Word | None) -> HeadedWord | None:
-        """Give the word with the head in force, and what its reader lacks; None where it tells none."""
+    def _headed(self, now: int, to: str, kind: Kind, heard: Word | None) -> tuple:
+        """Give what a word tells of the head in force, and what its reader lacks."""
         rumour, theirs = self.rumour, head_of(heard)
         if rumour is None or rumour.head is None:
-            return None
-        if theirs is None and (told[0] != Kind.PING or not rumour.first()):
-            return None
-        deltas = rumour.bring(now, to, theirs) if theirs else ()
-        return BringingWord(*told, *rumour.head, deltas) if deltas else HeadedWord(*told, *rumour.head)
-
-    def _news(self, to: str) -> tuple[News, ...]:
-        """Choose what to pass on: what is said of the one who reads it, the newest, then all in turn."""
+            return NO_HEAD
+        if theirs is None and (kind != Kind.PING or not rumour.first(now)):
+            return NO_HEAD
+        return *rumour.head, rumour.bring(now, to, theirs) if theirs else ()
+
+    def _news(self, now: int, to: str, kind: Kind, number: int) -> tuple[News, ...]:
+        """Choose what to pass on: what is said of the one who reads it, the newest, then all in turn.
+
+        What is old goes only while somebody was heard lately who holds the region to stand otherwise. Danger:
+        did each begin wherever it is, one that has started would hear the same again and again and the last
+        ones late. An answer begins by its question's number, and who asks one after the other hears all once.
+        """
         names: dict[str, None] = {}
         if self.others[to].proof is not Proof.HEARD and self.others[to].standing.start:
             names[to] = None
@@ -379,9 +416,12 @@
             if self._hot[name] >= times:
                 del self._hot[name]
         all_ = self._names
-        for _ in range(min(len(all_), MOST_NEWS - len(names))):
-            self._slice = (self._slice + 1) % len(all_)
-            names[all_[self._slice]] = None
+        at = number * STRIDE if kind == Kind.ACK else self._slice
+        for _ in range(min(len(all_), MOST_NEWS - len(names)) if now < self._apart else 0):
+            at = (at + 1) % len(all_)
+            names[all_[at]] = None
+        if kind != Kind.ACK:
+            self._slice = at
         told = [self.others[name] for name in names if self.others[name].standing.start]
         return tuple(
             News(m.name, m.standing.start, m.standing.incarnation, m.standing.state, self._by(m), m.place)
@@ -421,6 +461,8 @@
             self._out.append(HeadHeard(member.name, *head, deltas, word.kind == Kind.PING))
         for news in word.news:
             self._told(now, news)
+        if not isinstance(word, TabledWord) or word.table != self._table:
+            self._apart = now + APART
         if word.kind == Kind.PING:
             last = self.others.get(word.about)
             gap = -1 if last is None or last.datagram_at is None else (now - last.datagram_at) // MS
@@ -477,6 +519,7 @@
             self._condemn("the others hold this process for dead")
         after = refuted(self.own, told)
         if self.own.state is not State.LEFT and after != self.own:
+            self._table ^= mark_of(self.name, self.own) ^ mark_of(self.name, after)
             self.own = after
             self.slow = min(MOST_SLOW, self.slow + 1)
 
@@ -525,8 +568,10 @@
         self._set(now, member, told, Proof.ORDER if order else Proof.REFUSED)
 
     def _set(self, now: int, member: Member, standing: Standing, proof: Proof) -> None:
-        changed = proof is not member.proof or standing.start != member.standing.start
+        before = member.standing
+        changed = proof is not member.proof or standing.start != before.start
         member.standing, member.proof = standing, proof
+        self._table ^= mark_of(member.name, before) ^ mark_of(member.name, standing)
         self._suspects.pop(member.name, None)
         self._lost.pop(member.name, None)
         if not self._there(member):
--- a/mintmast/decisions/gateways/rumours.py
+++ b/mintmast/decisions/gateways/rumours.py
@@ -1,10 +1,10 @@
 """Which words of membership tell the configuration in force, and which bring another what it is missing.
 
 Rumour mongering with anti-entropy behind it (Demers and others, PODC 1987, both push and pull). A head in
-every word costs 13 bytes thirteen times a second for ever, though one changes each eight seconds; and a
-question over HTTP for each change, on a connection of its own, a kilobyte more. So the head goes with the
-first words after a change and with some later ones, an answer tells one where the question did, and who sees
-by it that another is behind sends along what it lacks, where that is small. HTTP is for the rest.
+every word costs 13 bytes up to thirteen times a second, though one changes each eight seconds; and a question
+over HTTP for each change, on a connection of its own, a kilobyte more. So the head goes with a probe twice a
+second and with the first ones after a change, an answer tells one where the question did, and who sees by it
+that another is behind sends along what it lacks, where that is small. HTTP is for the rest.
 
 Pure: time is handed in, µs.
 """
@@ -17,11 +17,9 @@
 
 Told = tuple[int, int, int]  # term, number and mark of a head, as `words.HeadedWord` has them
 
-# words of a gateway's own accord that tell a head after it has changed: six doublings of those who know; the
-# last few are found by the words below
-FRESH = 6
-# and one in so many at any time: each gateway is told of a newer head some three times a second by then
-EVERY = 4
+# probes that tell a head after it has changed: three doublings of those who know, within a second where
+# probes go fast; and µs after which any probe does, which where they go slowly are all
+FRESH, AGAIN_TOLD = 6, 450_000
 # µs after which a gateway is sent the same revisions again: they were lost, or refused there, and then a word
 # each time would be too much
 AGAIN = 1_000_000
@@ -36,7 +34,7 @@
         self.head: Told | None = None
         self.sent = 0  # revisions that were sent along
         self._after = after
-        self._fresh = self._words = 0
+        self._fresh = self._next = 0
         self._brought: dict[str, int] = {}  # to whom what is missing was sent since the last change, and when
 
     def changed(self, head: Told) -> None:
@@ -45,13 +43,12 @@
             self.head, self._fresh = head, FRESH
             self._brought.clear()
 
-    def first(self) -> bool:
-        """Tell whether a word that answers nobody tells the head."""
-        self._words += 1
-        if self._fresh:
-            self._fresh -= 1
-            return True
-        return self._words % EVERY == 0
+    def first(self, now: int) -> bool:
+        """Tell whether a probe that goes now tells the head."""
+        if not self._fresh and now < self._next:
+            return False
+        self._fresh, self._next = max(0, self._fresh - 1), now + AGAIN_TOLD
+        return True
 
     def owes(self, now: int, to: str, told: Told | None) -> bool:
         """Tell whether a gateway that told this is behind, and was not sent what it lacks just now."""
--- a/mintmast/decisions/gateways/words.py
+++ b/mintmast/decisions/gateways/words.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from enum import IntEnum
 
 import msgspec
@@ -83,6 +84,24 @@
     deltas: tuple[Delta, ...] = ()
 
 
+class TabledWord(BringingWord, frozen=True, array_like=True, gc=False):
+    """What gateways say: any of the above, with a digest of how its sender holds all of the region to stand.
+
+    `table` is `mark_of` all standings, its own among them, by exclusive or. Two who tell the same need pass
+    nothing on. -1 is told by gateways of before, which pass on all the time, and read these words as theirs.
+    """
+
+    table: int = -1
+
+
+def mark_of(name: str, standing: Standing) -> int:
+    """Give 32 bits for a gateway's standing; 0 for one of which nothing was heard."""
+    if not standing.start:
+        return 0
+    told = f"{name} {standing.start} {standing.incarnation} {int(standing.state)}".encode()
+    return int.from_bytes(hashlib.blake2b(told, digest_size=4).digest(), "big")
+
+
 def head_of(word: Word | None) -> tuple[int, int, int] | None:
     """Give the head that a word tells, None where it tells none."""
     return word.head if isinstance(word, HeadedWord) else None
--- a/mintmast/lab/scale/hollow_row.py
+++ b/mintmast/lab/scale/hollow_row.py
@@ -44,3 +44,8 @@
     before: News
     after: News
     times: list[float]
+
+    @property
+    def most(self) -> float:
+        """Give when three in four know."""
+        return sorted(self.times)[len(self.times) * 3 // 4]
--- a/mintmast/peers/roster.py
+++ b/mintmast/peers/roster.py
@@ -31,7 +31,7 @@
 )
 from mintmast.decisions.gateways.standing import CONCLUSIONS
 from mintmast.decisions.gateways.talk import Condemned, PeerStands
-from mintmast.decisions.gateways.words import BringingWord, Kind, Word
+from mintmast.decisions.gateways.words import Kind, TabledWord, Word
 from mintmast.http.client import Address, ClientLimits, Fault, HttpClient, Reply
 from mintmast.loop import Loop
 
@@ -184,7 +184,7 @@
             self.unsealed += 1
             return None
         try:
-            return msgspec.msgpack.decode(body, type=BringingWord)
+            return msgspec.msgpack.decode(body, type=TabledWord)
         except (msgspec.MsgspecError, RecursionError):
             self.malformed += 1
             return None
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,6 +1,8 @@
 """Membership among gateways: the order of standings, the model, hard cases on virtual time, mutations."""
 
+import functools
 import itertools
+import operator
 import random
 
 import pytest
@@ -20,8 +22,8 @@
     refused,
     refuted,
 )
-from mintmast.decisions.gateways.words import Kind, News, Window, Word
-from mintmast.lab.crowd import Audit, Crowd, weather
+from mintmast.decisions.gateways.words import Kind, News, TabledWord, Window, Word, mark_of
+from mintmast.lab.crowd import SECOND, Audit, Crowd, weather
 
 STANDINGS = st.builds(Standing, st.integers(0, 3), st.integers(0, 3), st.sampled_from(State))
 # s after the last fault in which all must believe the same: a round of probes of five gateways, a
@@ -392,3 +394,121 @@
     if name == "CONCLUSIONS":
         monkeypatch.setattr("mintmast.lab.crowd.CONCLUSIONS", value)
     assert any(play(seed).faults for seed in range(8))
+
+
+# What it costs
+
+
+def seen(crowd, seconds, names=None):
+    """Give words and bytes a second of each gateway, the most and the mean."""
+    sent, bytes_ = dict(crowd.sent), dict(crowd.bytes)
+    crowd.run(seconds)
+    names = [each for each in names or crowd.names if each in crowd.parts]
+    words = [(crowd.sent[n] - sent[n]) / seconds for n in names]
+    told = [(crowd.bytes[n] - bytes_[n]) / seconds for n in names]
+    return max(words), sum(words) / len(words), max(told), sum(told) / len(told)
+
+
+@pytest.mark.parametrize("count", [12, 60])
+def test_where_all_hold_the_same_words_are_few_and_pass_nothing_on(count):
+    crowd = Crowd(count, 3)
+    crowd.run(20)
+    most, mean, _, told = seen(crowd, 20)
+    assert 3.5 < mean < 4.5 and most < 6 and told < 400
+    crowd.vanish("g3")
+    _, mean, _, _ = seen(crowd, 4)
+    assert mean > 6 and {part.others["g3"].proof for name, part in crowd.parts.items()} == {Proof.CONFIRMED}
+    crowd.run(10)
+    most, mean, _, told = seen(crowd, 20)  # and again where all hold one for lost
+    assert 3.5 < mean < 6 and told < 500
+    crowd.start("g3")
+    crowd.run(4)
+    assert crowd.agree()
+
+
+def test_what_one_gateway_alone_holds_otherwise_is_found_by_the_digest_and_mended():
+    crowd = Crowd(30, 5)
+    crowd.run(15)
+    odd = crowd.parts["g4"]
+    for name in ("g7", "g9"):  # it has never heard of these, as far as it knows
+        odd._set(crowd.now, odd.others[name], Standing(), Proof.NEVER_HEARD)
+    crowd.run(6)
+    assert crowd.agree() and odd.others["g7"].proof is odd.others["g9"].proof is Proof.HEARD
+    _, mean, _, _ = seen(crowd, 5)
+    assert mean < 5
+
+
+def test_a_region_with_a_gateway_of_before_passes_all_on_all_the_time():
+    part = Members("a", 1, ("a", "b", "c"), random.Random(1))
+    part.begin(0)
+    for seq in (1, 2):
+        for name in ("b", "c"):
+            part.take(seq, Heard(Word(Kind.ACK, name, 1, 0, seq, 0)))
+    assert not part._calm(3) and part._apart == 2 + members.APART
+    told = TabledWord(Kind.ACK, "b", 1, 0, 3, 0, "", -1, (), "", *members.NO_HEAD, part._table)
+    part.take(2 + members.APART, Heard(told))
+    assert part._calm(2 + members.APART) == (not part._hot)
+
+
+def test_digests_tell_every_two_changes_apart_and_what_is_kept_is_what_stands():
+    marks = {mark_of(f"g{n}", Standing(1, m, state)) for n in range(20) for m in range(5) for state in State}
+    assert len(marks) == 500 and mark_of("g", Standing()) == 0
+    # what two change alike must not cancel out, as it does with sums and with CRCs
+    both = [mark_of(f"g{n}", Standing(1, 0)) ^ mark_of(f"g{n}", Standing(1, 1)) for n in range(50)]
+    assert len(set(both)) == 50
+    crowd = Crowd(9, 4, loss=0.1)
+    for step in range(30):
+        draw = random.Random(step)
+        name = draw.choice(crowd.names)
+        {0: crowd.kill, 1: crowd.vanish, 2: crowd.start, 3: crowd.stop, 4: crowd.go_on}[step % 5](name)
+        crowd.run(draw.uniform(0.2, 3))
+        for part in crowd.parts.values():
+            all_ = {part.name: part.own, **{n: m.standing for n, m in part.others.items()}}
+            assert part._table == functools.reduce(operator.xor, (mark_of(*each) for each in all_.items()))
+            there = {n for n, m in part.others.items() if Members._there(m)}
+            assert set(part._lost) == set(part.others) - there
+            assert set(part._suspects) == {
+                n for n, m in part.others.items() if m.standing.state is State.SUSPECTED
+            }
+
+
+def test_one_that_comes_back_is_not_met_by_all_at_once_nor_probed_in_step_while_it_is_away():
+    crowd = Crowd(100, 2)
+    crowd.run(70)
+    came = []
+    crowd.vanish("g40")
+    crowd.run(8)
+    send = crowd._send
+
+    def counted(name, command):
+        if command.to == "g40" and command.word.kind == Kind.PING and not command.word.about:
+            came.append((crowd.now, name))
+        send(name, command)
+
+    crowd._send = counted
+    crowd.run(30)
+    away = [sum(at // SECOND == second for at, _ in came) for second in {at // SECOND for at, _ in came}]
+    assert 30 < len(came) < 110 and max(away) < 15  # two a second, of a hundred gateways
+    came.clear()
+    crowd.start("g40")
+    crowd.run(1)
+    assert len(came) < 30
+    crowd.run(4)
+    assert crowd.agree()
+
+
+def test_few_probe_a_suspected_one_before_its_turn(monkeypatch):
+    def probed(verifiers):
+        monkeypatch.setattr(members, "VERIFIERS", verifiers)
+        crowd = Crowd(100, 2)
+        crowd.run(15)
+        crowd.stop("g40")
+        before = dict(crowd.sent)
+        crowd.run(4)
+        sure = [part.others["g40"].proof for name, part in crowd.parts.items() if name != "g40"]
+        assert sure.count(Proof.CONFIRMED) > 90
+        crowd.go_on("g40")
+        crowd.run(0.1)
+        return crowd.sent["g40"] - before["g40"]
+
+    assert probed(members.VERIFIERS) < 0.6 * probed(10**6)
