--- a/mintmast/cli/scale.py
+++ b/mintmast/cli/scale.py
@@ -20,7 +20,7 @@
 # each part's module and function; `rows` gives the rows of some sizes
 PARTS = {
     "peers": "rows", "proof": "prove", "sessions": "rows", "lists": "rows", "fleet": "rows",
-    "loopback": "rows", "configuration": "rows", "answers": "rows",
+    "loopback": "rows", "configuration": "rows", "answers": "rows", "applying": "rows",
 }  # fmt: skip
 # parts that take all sizes at once, as they have rows beside them at sizes of their own
 AT_ONCE = {"lists"}
--- a/mintmast/decisions/gateways/members.py
+++ b/mintmast/decisions/gateways/members.py
@@ -121,6 +121,7 @@
         self._names = tuple(self.others)
         self._suspects: dict[str, None] = {}
         self._lost = dict.fromkeys(self._names)  # those neither alive nor suspected
+        self._unheard = dict.fromkeys(self._names)  # and those of whom nothing was ever heard
         self.slow = 0
         self.condemned = ""  # why this process must not act under its name any more
         self.dropped = dict.fromkeys(("foreign", "old", "doubled", "bad state"), 0)
@@ -307,13 +308,13 @@
             name = self._next.popleft()
             if self.others[name].standing.state is State.SUSPECTED:
                 return name
-        lost = self._lost
+        lost, new = self._lost, self._unheard if self._number <= len(self.others) else {}
         if lost:
-            few = RETURNS * len(lost) / len(self.others) if self._number > len(self.others) else 1.0
+            few = 1.0 if new else RETURNS * len(lost) / len(self.others)
             # drawn, not counted: all have known of the loss for as long, and would come back to it together
             due = self._random.random() < min(1 / RETURN_EVERY, few)
             if due or len(lost) == len(self.others):
-                return self._random.choice(tuple(lost))
+                return self._random.choice(tuple(new or lost))
         while self._order:
             name = self._order.pop()
             if self._there(self.others[name]):
@@ -574,6 +575,7 @@
         self._table ^= mark_of(member.name, before) ^ mark_of(member.name, standing)
         self._suspects.pop(member.name, None)
         self._lost.pop(member.name, None)
+        self._unheard.pop(member.name, None)
         if not self._there(member):
             self._lost[member.name] = None
         elif standing.state is State.SUSPECTED:
--- a/mintmast/lab/scale/fleet.py
+++ b/mintmast/lab/scale/fleet.py
@@ -2,7 +2,8 @@
 
 The gateways' real `Members`, all of them, in memory and on virtual time (`lab/crowd.py`); times are virtual,
 so the machine's load plays no part. One fleet goes through all events of `rows`, one after the other, and
-settles between them. Bytes are those sent, with the headers of IP and UDP.
+settles between them; the dense day has one of its own, which shares its settings (`lab/spread.py`). Bytes
+are those sent, with the headers of IP and UDP; questions about settings are left out.
 """
 
 from __future__ import annotations
@@ -10,9 +11,11 @@
 import random
 from collections.abc import Iterable, Sequence
 
+from mintmast.decisions.gateways.revising import Publish
 from mintmast.decisions.gateways.standing import CONCLUSIONS, Proof
 from mintmast.lab.crowd import SECOND, Crowd
 from mintmast.lab.scale.record import Row
+from mintmast.lab.spread import Spread
 
 ZONES, REGIONS = 8, 3
 # seconds that something not known to all is waited for: many times the 18 s that it may take
@@ -23,8 +26,13 @@
 AWAY, REPLACED = 1.0, 10.0
 # seconds that a region is cut off at the least: until all know, where that takes longer
 CUT = 60.0
-# restarts in turn that are played: each is like the one before, and a third of 200 would take many minutes
-MOST_IN_TURN = 8
+# restarts in turn that are played: all of a region's up to 200 gateways; of more, each is like those before
+MOST_IN_TURN = 66
+# gateways of a rack, of the target's: assumed; at the least two
+RACK = 40 / 3400
+# s between changes of configuration in the dense day: eight times the target's 11,000 a day. They are the
+# fleet's and do not grow with it, so that they cannot be as dense as what befalls machines
+CHANGES_EVERY = 1.0
 # the users' ordinary day: failures and restarts over so many gateways, and its seconds
 DAY_FAILURES, DAY_RESTARTS, DAY_GATEWAYS, DAY = 26, 1000, 3400, 86_400
 # times that the dense day is faster than a real one: at 50 gateways some ten events within its seconds, so
@@ -83,8 +91,8 @@
 class Course:
     """A crowd, what is waited for in it, and what each second of it cost."""
 
-    def __init__(self, count: int, seed: int) -> None:
-        self.crowd, self.size, self.seed = Crowd(count, seed), count, seed
+    def __init__(self, count: int, seed: int, crowd: Crowd | None = None) -> None:
+        self.crowd, self.size, self.seed = crowd or Crowd(count, seed), count, seed
         self.watches: list[Watch] = []
         self.rows: list[Row] = []
         self._read = 0
@@ -243,8 +251,30 @@
     course.cost("restarts")
 
 
+def _settled(course: Course) -> None:
+    """Let all start and learn of each other, and one publish their settings."""
+    course.until(course.watch(course.crowd.names, there=True))
+    course.run(LEAST_SECONDS)
+    course.crowd.take_over(course.crowd.names[0])
+    course.run(LEAST_SECONDS)
+
+
+def _force(net: Spread, since: int) -> tuple[float, int]:
+    """Give the longest s that a change took to the last gateway that ran all the while, and how many did."""
+    published = {head.key: at for at, head, _ in net.force[net.names[0]] if at >= since}
+    longest, counted = 0.0, 0
+    for name, told in net.force.items():
+        if net._lives[name] == 1:
+            came = [(at, head.key) for at, head, _ in told]
+            for key, begun in published.items():
+                at = next((at for at, each in came if each >= key), None)
+                longest = max(longest, PATIENCE if at is None else (at - begun) / SECOND)
+            counted += 1
+    return longest, counted
+
+
 def _day(course: Course) -> None:
-    """Play the ordinary day's failures and restarts for a gateway, so many times faster."""
+    """Play the ordinary day's failures and restarts for a gateway, so many times faster, with changes."""
     crowd, draw = course.crowd, random.Random(f"{course.seed}/day")
     part = course.size / DAY_GATEWAYS * DENSE * DENSE_SECONDS / DAY
     failures, restarts = max(1, round(DAY_FAILURES * part)), max(1, round(DAY_RESTARTS * part))
@@ -269,13 +299,22 @@
         crowd.start(name)
         backs.append(course.watch([name], there=True))
 
-    for n in range(failures + restarts):
-        crowd.at(draw.uniform(0, DENSE_SECONDS), away, draw.choice(crowd.names), n < failures)
+    for n in range(failures + restarts):  # the publisher's own death is a drill's matter
+        crowd.at(draw.uniform(0, DENSE_SECONDS), away, draw.choice(crowd.names[1:]), n < failures)
+    changes = int(DENSE_SECONDS / CHANGES_EVERY)
+    for n in range(changes):
+        crowd.at(n * CHANGES_EVERY, crowd.publish, Publish(n, b'{"titles":"%060d"}' % n))
+    since = crowd.now
     course.run(DENSE_SECONDS)
     mean = (sum(crowd.bytes.values()) - spent) / DENSE_SECONDS / course.size
     course.run(REPLACED + STEP)
     course.until(*backs)
-    note = f"{failures} failures and {restarts} restarts in {DENSE_SECONDS:.0f} s, {DENSE} times a real day's"
+    note = f"{failures} failures, {restarts} restarts ({DENSE} times a real day's) and {changes} changes"
+    note += f" in {DENSE_SECONDS:.0f} s"
+    force, counted = _force(crowd, since)
+    course.tell(
+        "day.in_force", "s", force, f"the longest change, at {counted} that ran all the while; {note}"
+    )
     course.tell("day.known", "s", max(each.seconds()[1] for each in backs), f"the slowest return; {note}")
     told = [at - each.since for each in losses for at in each.knew.values()]
     if told:
@@ -295,9 +334,13 @@
             names = course.crowd.names
             _begin(course)
             _lost(course, "lost", names[-1:])
+            _lost(course, "rack", names[: max(2, round(size * RACK))])
             _lost(course, "zone", names[-(size // ZONES) :])
             _cut(course)
             _restarts(course)
+            out += course.rows
+            course = Course(size, seed, Spread(size, seed))
+            _settled(course)
             _day(course)
             out += course.rows
     return out
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -16,7 +16,7 @@
 from mintmast.cli import main
 from mintmast.decisions.gateways.standing import Proof
 from mintmast.lab.crowd import SECOND
-from mintmast.lab.scale import fleet, page, slopes
+from mintmast.lab.scale import answers, applying, fleet, page, slopes
 from mintmast.lab.scale.record import Row, load, made, save
 
 CAPACITY = Path(__file__).parent.parent / "docs" / "capacity"
@@ -277,13 +277,34 @@
     assert len(again) == len(value) > 40 and value == {
         r.figure.removeprefix("fleet."): r.value for r in again
     }
-    events = ("start", "lost", "lost.back", "zone", "zone.back", "cut", "joined", "restarts", "day")
+    events = "start lost lost.back rack rack.back zone zone.back cut joined restarts day".split()
     for event in events:
         assert 0 < value[f"{event}.known"] < fleet.PATIENCE
-        # a gateway says 7 words a second of its own and answers as many; bytes with 28 of headers a word
+        # a gateway says two to seven words a second of its own, and answers; with 28 bytes of headers a word
         assert 10 <= value[f"{event}.messages"] <= 100
         assert 28 * value[f"{event}.messages"] < value[f"{event}.sent"] <= value[f"{event}.sent_by_all"]
     assert value["lost.known"] > 1  # a suspicion stands for a second at least
+    assert 0 < value["day.in_force"] < 18 and value["day.sent_mean"] < 2000
+
+
+def test_the_course_of_paid_answers_and_that_of_changes_with_sessions_held():
+    (row,) = applying.rows((200,), (1,))
+    assert (row.figure, row.over, row.size) == ("configuration.apply", "sessions", 200) and row.value > 0
+    for bad in (2, 101):
+        with pytest.raises(ValueError, match="3 to 100 gateways"):
+            answers.rows((bad,))
+
+
+def test_paid_answers_over_processes_with_shared_settings_and_without(monkeypatch):
+    monkeypatch.setattr(answers, "TURNS", 1)
+    monkeypatch.setattr(answers, "SETTLE", 6.0)
+    told = {row.figure: row for row in answers.rows((3,), (1,), 1.0)}
+    assert set(told) == {
+        f"paid.{what}" for what in "p50_alone p99_alone p50_shared p99_shared p99_ratio".split()
+    }
+    for kind in ("alone", "shared"):
+        counts = [int(word) for word in told[f"paid.p99_{kind}"].note.split() if word.isdigit()]
+        assert counts[0] >= 10 and (counts[2] > 0) == (kind == "shared")
 
 
 def test_a_watch_waits_for_each_observer_and_for_the_life_that_it_was_told():
