--- a/mintmast/loop/real.py
+++ b/mintmast/loop/real.py
@@ -22,6 +22,9 @@
 # to 100 ms
 GARBAGE = (20_000, 20, 1000)
 
+# µs that a turn may take, or a wait longer than it was to; beyond, this process stood still
+STILL = 250_000
+
 
 def settle_memory() -> None:
     """Take what the program is made of out of the garbage collector's sight, and let it look seldom.
@@ -49,6 +52,8 @@
         self.longest_turn = 0  # µs
         self.turns = 0
         self.on_turn: Callable[[int], None] | None = None
+        # hears how long a turn took, or by how much a wait was too long, where that is over `STILL` (µs)
+        self.on_still: Callable[[int], None] | None = None
         self._wakeup: tuple[int, int] | None = None
         self.wall_shift = 0.0  # s; for tests of a machine whose clock is wrong
 
@@ -132,9 +137,11 @@
         due = self._timers.next()
         if until is not None:
             due = until if due is None else min(due, until)
-        wait = None if due is None else max(0.0, (due - self.now()) / 1e6)
+        before = self.now()
+        wait = None if due is None else max(0.0, (due - before) / 1e6)
         ready = self._selector.select(wait)
         begin = self.now()
+        late = begin - max(due, before) if due is not None else 0
         for key, mask in ready:
             self.guard(key.data, mask)
         while (timer := self._timers.pop(begin)) is not None:
@@ -145,6 +152,8 @@
         self.longest_turn = max(self.longest_turn, took)
         if self.on_turn is not None:
             self.on_turn(took)
+        if self.on_still is not None and max(late, took) > STILL:
+            self.on_still(max(late, took))
 
     def guard(self, do: Callable[..., Any], *args: Any) -> None:
         """Call, and turn an exception into a line."""
--- a/mintmast/signalling/node.py
+++ b/mintmast/signalling/node.py
@@ -379,6 +379,9 @@
         print(f"mintmast: {error}", file=sys.stderr)
         return 2
 
+    # what stands still cannot answer in time, and nothing else would tell afterwards that it did: neither the
+    # machine's trouble nor this process's own leaves another line
+    loop.on_still = lambda took: say("stood still", ms=took / MS)
     node.on_stopped = loop.stop
     settle_memory()
     say("serving", hosts=len(node._entries), seq=node.changelog.seq)
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import threading
+import time
 
 import pytest
 from platform_world import SETTINGS, entry, news
@@ -159,3 +160,22 @@
 def test_encoding_a_message_that_is_too_long_is_refused():
     with pytest.raises(ValueError, match="17"):
         encode(Kind.SET_UP, bytes(8), [(46, bytes(17_000))])
+
+
+def test_a_process_that_stood_still_says_for_how_long(tmp_path):
+    port = free_port()
+    process = start(config(tmp_path / "conf.json", port))
+    try:
+        until(process, "serving")
+        ask(port)  # its loop turns
+        process.send_signal(signal.SIGSTOP)
+        time.sleep(0.6)
+        process.send_signal(signal.SIGCONT)
+        said = until(process, "stood still")
+        assert 250 < said["ms"] < 20_000
+        process.send_signal(signal.SIGTERM)
+        rest = [json.loads(line) for line in process.stderr]
+        assert process.wait(20) == 0 and rest[-1]["event"] == "stopped"
+    finally:
+        process.kill()
+        process.wait()
