Membership: who hears only those that hold the region alike has no news any more

Change: eight words in a row with this gateway's own digest end its news, but in a suspicion, as who observes one is not in the digest. The scale run measures steady load once the start's learning is over, and tells how long that took.

--- a/mintmast/decisions/gateways/members.py
+++ b/mintmast/decisions/gateways/members.py
@@ -81,6 +81,9 @@
 # µs after a word of one who holds the region to stand otherwise in which all is passed on in turn, and probes
 # go fast: the next such word comes sooner, if they still differ
 APART = 2 * PERIOD
+# words in a row that tell this gateway's own digest, after which it has no news: were one in four behind, one
+# time in ten, and those who are show it by theirs
+AGREED = 8
 # how much further an answer's old news begins for each question: some fewer than a word takes, as what is new
 # goes first
 STRIDE = 8
@@ -137,6 +140,7 @@
         self._hot: dict[str, int] = {}  # news to be passed on, and how often it was
         self._slice = 0
         self._table = mark_of(name, self.own)
+        self._agreed = 0  # words in a row from those who hold the region to stand alike
         self._apart = 0  # µs until when others are taken to hold the region to stand otherwise
         self._rested = False
         self._due = 0
@@ -277,7 +281,7 @@
                 self._next.append(member.name)
         if by not in ("", member.name, *member.observers) and len(member.observers) < OBSERVERS:
             member.observers.add(by)
-            self._hot[member.name] = 0
+            self._hot[member.name] = self._agreed = 0
 
     def _confirm(self, now: int) -> None:
         """Take those for unreachable of whom enough observers hear nothing, for long enough."""
@@ -462,8 +466,7 @@
             self._out.append(HeadHeard(member.name, *head, deltas, word.kind == Kind.PING))
         for news in word.news:
             self._told(now, news)
-        if not isinstance(word, TabledWord) or word.table != self._table:
-            self._apart = now + APART
+        self._compare(now, word)
         if word.kind == Kind.PING:
             last = self.others.get(word.about)
             gap = -1 if last is None or last.datagram_at is None else (now - last.datagram_at) // MS
@@ -475,6 +478,20 @@
             if self.rumour is not None and self.rumour.owes(now, member.name, head):
                 self._send(now, member.name, Kind.ACK, heard=word)  # an answer to no probe: what it lacks
 
+    def _compare(self, now: int, word: Word) -> None:
+        """Hold the sender's table against this one, which has what the word told.
+
+        Danger: one that has started takes all that it learns for news, and would tell thousands of standings
+        dozens of times to who knows them. Demers' rumours with feedback: who meets only such loses interest.
+        Not in a suspicion, as who observes it is not in the digest and must come round.
+        """
+        if isinstance(word, TabledWord) and word.table == self._table:
+            self._agreed += 1
+            if self._agreed >= AGREED and not self._suspects:
+                self._hot.clear()
+        else:
+            self._agreed, self._apart = 0, now + APART
+
     def _placed(self, member: Member, start: int, place: str) -> None:
         """Reach a start of a gateway where it is.
 
@@ -580,7 +597,7 @@
             self._lost[member.name] = None
         elif standing.state is State.SUSPECTED:
             self._suspects[member.name] = None
-        self._hot[member.name] = 0
+        self._hot[member.name] = self._agreed = 0
         if changed:
             member.since = now
             self._out.append(Changed(member.name, proof, standing.start, tuple(sorted(member.observers))))
--- a/mintmast/lab/scale/peers.py
+++ b/mintmast/lab/scale/peers.py
@@ -91,6 +91,10 @@
     row("membership.build", "ms", (time.process_time_ns() - began) / 1e6, "`Members` and `Witnessing`")
 
 
+# virtual s that a start may take to learn how all stand, before what is steady is measured
+LEARNING = 300.0
+
+
 def _steady(size: int, seed: int, seconds: float, row: Callable[..., None]) -> None:
     made = bench(size, seed, age=86_400.0)
     began = time.process_time_ns()
@@ -116,7 +120,17 @@
     row("membership.descriptors", "count", made.node.most_streams, "connections at once in the first 2 s")
     allowed = gateway.peers.server.limits.connections if gateway.peers is not None else 0
     row("membership.descriptors.allowed", "count", allowed, "connections that the peers' port takes")
+    members, learning = gateway.roster.members, 1.0
     made.run(1.0)
+    while not members._calm(made.world.time) and learning < LEARNING:
+        made.run(1.0)
+        learning += 1
+    row(
+        "membership.start.learning",
+        "s",
+        learning + 2,
+        f"until it holds all to stand as all others; {LEARNING:.0f} at most",
+    )
     meter.clear()
     made.run(seconds)
     for way in ("sent", "received"):
