The run of paid answers says when nobody was served; at 50 processes on 8 cores it is so

Seen: 50 real gateways on loopback, 22 to 27 s after all began at once: 123 of 141 paid asks silent for 2.5 s, 18 answered 421, the machine's cores full. Not explained; 50 whole gateways in memory with claims go well (the proof).

--- a/mintmast/lab/scale/answers.py
+++ b/mintmast/lab/scale/answers.py
@@ -117,7 +117,7 @@
 
 
 def rows(sizes: tuple[int, ...] = (50,), seeds: tuple[int, ...] = (1,), seconds: float = 30.0) -> list[Row]:
-    """Play each size; `seconds` are real ones. Raises ValueError for too many gateways."""
+    """Play each size for so many real s. Raises ValueError for a bad size, RuntimeError for no answer."""
     if max(sizes) > MOST or min(sizes) < 3:
         raise ValueError(f"3 to {MOST} gateways of their own processes")
     out = []
@@ -134,6 +134,8 @@
                     told = f"{course.served} served, {course.other} not, {course.published} changes"
                     notes[shares].append(f"{told}, p99 {p99:.1f} ms")
                     time.sleep(1.0)
+            if not all(each.get_total_count() for each in seen.values()):
+                raise RuntimeError(f"{size} gateways: nobody was served: {notes}")
             for shares, name in ((False, "alone"), (True, "shared")):
                 for part in (50, 99):
                     value = seen[shares].get_value_at_percentile(part) / 1000
