--- /dev/null
+++ b/mintmast/lab/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Soak runs: processes of the platform's gateway on loopback under dense faults, audited from outside."""
--- /dev/null
+++ b/mintmast/lab/soak/run.py
@@ -0,0 +1,115 @@
+"""Plays a schedule on real processes over loopback and judges it."""
+
+from __future__ import annotations
+
+import random
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+from mintmast.lab.ports import Ports, own_address
+from mintmast.lab.soak.audit import Verdict, audit
+from mintmast.lab.soak.change_log import StandInChangeLog
+from mintmast.lab.soak.gateway import GatewayProcess, gateway_document
+from mintmast.lab.soak.host import StandInHost
+from mintmast.lab.soak.records import Records
+from mintmast.lab.soak.schedule import MS, SECOND, HostFault, Schedule
+from mintmast.lab.soak.viewers import Front, StandInViewers
+from mintmast.loop.real import SelectorLoop
+
+# µs by which the stand-ins' own loop may be late before a run says nothing about the gateways
+MAX_STALL_US = 40 * MS
+START_TIMEOUT_US, SETTLE_US = 20 * SECOND, 6 * SECOND
+
+
+@dataclass(slots=True)
+class Report:
+    """A run's verdicts; `is_void` if the stand-ins ran too late to judge, and the logs by gateway."""
+
+    verdicts: dict[str, Verdict]
+    records: Records
+    is_void: bool
+    logs: dict[str, str]
+
+    @property
+    def broken(self) -> list[str]:
+        """Return a line for each case that broke a rule."""
+        return [f"{rule}: {line}" for rule, verdict in self.verdicts.items() for line in verdict.broken]
+
+
+def play(schedule: Schedule) -> Report:
+    """Play a schedule. Raises RuntimeError if the processes do not become ready or a stand-in is at fault."""
+    with tempfile.TemporaryDirectory(prefix="mintmast-soak-") as folder:
+        return _Run(schedule, Path(folder)).play()
+
+
+class _Run:
+    def __init__(self, schedule: Schedule, folder: Path) -> None:
+        self.schedule, self.records = schedule, Records()
+        self._faults: list[str] = []  # of the stand-ins
+        self.loop = SelectorLoop(self._faults.append)
+        self.loop.on_turn = self._record_turn
+        address = own_address()
+        ports = Ports(address)
+        draw = random.Random(f"{schedule.seed}/hosts")
+        places = {f"host-{number}": (address, ports(f"host-{number}")) for number in range(schedule.hosts)}
+        self.hosts = [
+            StandInHost(self.loop, self.records, random.Random(draw.random()), name, place)
+            for name, place in places.items()
+        ]
+        log_place = (address, ports("change-log"))
+        self.change_log = StandInChangeLog(self.loop, log_place)
+        self.fronts = [Front(f"n{each}", (address, ports(f"n{each}"))) for each in range(schedule.gateways)]
+        self.gateways = [
+            GatewayProcess(
+                self.loop, self.records, front, folder, gateway_document(schedule, front, log_place, places)
+            )
+            for front in self.fronts
+        ]
+        self.viewers = StandInViewers(self.loop, self.records, schedule, self.fronts)
+
+    def _record_turn(self, took: int) -> None:
+        self.records.longest_stall = max(self.records.longest_stall, took)
+
+    def play(self) -> Report:
+        """Play the schedule, and end all processes whatever happens."""
+        try:
+            self._start_gateways()
+            self._schedule_faults(self.loop.now())
+            self.records.longest_stall = 0
+            self.viewers.start()
+            end = self.loop.now() + self.schedule.length
+            self.loop.run(end)
+            self.viewers.stop()
+            self.loop.run(end + SETTLE_US)
+            stall, ended_at = self.records.longest_stall, self.loop.now()
+        finally:
+            for each in (*self.gateways, self.viewers, *self.hosts, self.change_log):
+                each.close()
+        if self._faults:
+            raise RuntimeError(self._faults[0])
+        for gateway in self.gateways:
+            self.records.tracebacks += gateway.read_tracebacks()
+        verdicts = audit(self.records, ended_at)
+        logs = {each.front.name: each.log_path.read_text(errors="replace") for each in self.gateways}
+        return Report(verdicts, self.records, stall > MAX_STALL_US, logs)
+
+    def _start_gateways(self) -> None:
+        for gateway in self.gateways:
+            gateway.start()
+        until = self.loop.now() + START_TIMEOUT_US
+        while not all(front.accepts for front in self.fronts):
+            if self.loop.now() > until:
+                raise RuntimeError("the gateways did not become ready")
+            self.loop.turn(self.loop.now() + MS)
+
+    def _schedule_faults(self, begin: int) -> None:
+        for each in self.schedule.signals:
+            self.loop.call_at(begin + each.at, self.gateways[each.gateway].send_signal, each.sent)
+        for fault in self.schedule.host_faults:
+            self.loop.call_at(begin + fault.at, self.hosts[fault.host].set_mode, fault.mode)
+            self.loop.call_at(begin + fault.until, self._end_fault, fault)
+
+    def _end_fault(self, fault: HostFault) -> None:
+        if self.hosts[fault.host].mode is fault.mode:
+            self.hosts[fault.host].set_mode(None)
