The rule on gateways held for out of reach counts every pair of healthy gateways

Seen: test_processes_with_links_between_them_keep_all_rules failed once on a busy machine, its message was not kept. Cause: views._check counted a case of talks_not_out only when a view held another gateway for out of reach; a run on a busy machine may tell no such view, the report is good without the rule, and the test ends with KeyError: 'talks_not_out'. Change: a view of a healthy pair that does not hold the other for out of reach is a case that keeps the rule; what breaks it is as before. The new test failed before with the same KeyError.

--- a/mintmast/lab/views.py
+++ b/mintmast/lab/views.py
@@ -90,6 +90,8 @@
         both = viewer in truth.well and other in truth.well
         if stands not in OUT or not both:
             since.pop((viewer, other), None)
+            if both:
+                found.see("talks_not_out")
             continue
         begin = max(truth.well[viewer], truth.well[other])
         since[viewer, other] = min(since[viewer, other], max(begin, row["before"]))
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -158,6 +158,14 @@
     assert broken_rules(*all_heard, cut, rest, *unreachable, *restored, end) == {"views_agree"}
 
 
+def test_a_run_in_which_no_gateway_was_out_of_reach_counts_that_rule_as_judged():
+    found = Findings()
+    views(
+        [view(0, name, 1, **dict.fromkeys({"a", "b"} - {name}, "heard")) for name in "ab"], found, ["a", "b"]
+    )
+    assert found.as_dict()["talks_not_out"] == {"checked": 1, "broken": 0, "first": []}
+
+
 @pytest.mark.parametrize("fault", ["no-refutation", "lost-is-dead"])
 def test_a_drill_detects_a_gateway_without_its_safeguards(fault):
     small = replace(drills.DRILLS["members-stopped"].day, rate=3.0)
