The platform's gateway logs retries, refusals, every close and the steps of a shutdown

Change: log events retry, refused, failed (call, attempts, evidence of the last), host closed (with the call that was open), viewer closed and viewer disconnected for every connection, draining and closing with counts of open set-ups and unread and unsent connections.

--- a/mintmast/decisions/calls/calls.py
+++ b/mintmast/decisions/calls/calls.py
@@ -156,19 +156,26 @@
 
 @dataclass(slots=True, frozen=True)
 class RefuseRequest:
-    """Refuse the viewer's request, with advice to retry after `retry_after` µs."""
+    """Refuse the viewer's request, with advice to retry after `retry_after` µs.
+
+    `attempts` were made, and `evidence` is of the last one: None if the request was never sent to a host.
+    """
 
     call_id: bytes
     viewer: int
     retry_after: int
+    attempts: int
+    evidence: Evidence | None
 
 
 @dataclass(slots=True, frozen=True)
 class FailRequest:
-    """Report to the viewer that the set-up failed."""
+    """Report to the viewer that the set-up failed after `attempts`, the last of which gave `evidence`."""
 
     call_id: bytes
     viewer: int
+    attempts: int
+    evidence: Evidence | None
 
 
 @dataclass(slots=True, frozen=True)
@@ -235,6 +242,7 @@
     host: bytes = b""
     attempt: int = -1
     rung: int = 0
+    evidence: Evidence | None = None  # of the last attempt that ended
     attempt_sent_at: int = 0
     established_at: int = 0
 
@@ -331,6 +339,7 @@
         outcome = OUTCOMES[evidence].outcome
         if call is None or outcome is None:
             return []
+        call.evidence = evidence
         return self._apply(now, call, _Observation(CallEvent.ATTEMPT_ENDED, outcome, load))
 
     def handle_session_end(
@@ -487,10 +496,11 @@
             commands.append(SendSetUp(call.id, call.host, call.attempt, call.rung, deadline, call.forwarded))
         elif isinstance(action, api.Refuse):
             self._remove(call)
-            commands.append(RefuseRequest(call.id, call.viewer, action.retry_after))
+            attempts = call.attempt + 1
+            commands.append(RefuseRequest(call.id, call.viewer, action.retry_after, attempts, call.evidence))
         elif isinstance(action, api.Fail):
             self._remove(call)
-            commands.append(FailRequest(call.id, call.viewer))
+            commands.append(FailRequest(call.id, call.viewer, call.attempt + 1, call.evidence))
         elif isinstance(action, api.Cancel):
             if call.state is CallState.CANCELLING and action.attempt == call.attempt:
                 commands.append(CancelSetUp(call.id, call.host))
--- a/mintmast/signalling/hostconnection.py
+++ b/mintmast/signalling/hostconnection.py
@@ -188,6 +188,8 @@
         attempt, self.attempt = self.attempt, None
         stream, self.stream = self.stream, None
         pool = self.pool
+        call_id = attempt.call_id if attempt is not None else None
+        pool.hosts.events.handle_connection_closed(pool.host, reason.value, call_id)
         if attempt is not None:
             self._report_broken_attempt(attempt, stream, reason)
         pool.handle_closed(self, reason)
--- a/mintmast/signalling/hosts.py
+++ b/mintmast/signalling/hosts.py
@@ -30,6 +30,9 @@
 class HostEvents(Protocol):
     """Callbacks for events of media hosts."""
 
+    def handle_connection_closed(self, host: bytes, reason: str, call_id: bytes | None) -> None:
+        """Process the end of a connection; `call_id` is the set-up that was open on it, if any."""
+
     def handle_answer(self, host: bytes, call_id: bytes, description: bytes) -> None:
         """Process an answer to an attempt."""
 
--- a/mintmast/signalling/node.py
+++ b/mintmast/signalling/node.py
@@ -69,6 +69,8 @@
 HANDOVER_WINDOW_US = 10_000_000
 # session ends kept in that time for sessions that were not handed over yet
 MAX_EARLY_ENDS = 4096
+# log events of a start and a shutdown; the limit on lines must not drop them
+_LIFECYCLE_EVENTS = frozenset({"serving", "stopping", "draining", "closing", "stopped"})
 
 
 class Node:
@@ -125,6 +127,7 @@
 
     def _stop_listening(self) -> None:
         self._listener.finish()
+        self.log("draining", **self.viewers.count_pending())
         self._wait_until_idle(self.loop.now() + FLUSH_TIMEOUT_US)
 
     def _wait_until_idle(self, wait_until: int) -> None:
@@ -137,6 +140,7 @@
         if any(each.open_set_ups for each in connections) or (now < wait_until and self.viewers.is_busy()):
             self.loop.call_at(now + SHUTDOWN_POLL_US, self._wait_until_idle, wait_until)
             return
+        self.log("closing", connections=len(connections), **self.viewers.count_pending())
         self.viewers.close_all()
         self._wait_until_closed(now + PEER_CLOSE_TIMEOUT_US)
 
@@ -264,6 +268,10 @@
 
     # Callbacks of hosts
 
+    def handle_connection_closed(self, host: bytes, reason: str, call_id: bytes | None) -> None:
+        """Log the end of a connection to a host, with the set-up that was open on it."""
+        self.log("host closed", host=host.decode(), how=reason, call=call_id.hex() if call_id else None)
+
     def handle_answer(self, host: bytes, call_id: bytes, description: bytes) -> None:
         """Process a host's answer to an attempt."""
         self._execute(self.calls.handle_answer(self.loop.now(), call_id, host, description))
@@ -322,6 +330,14 @@
 
     def _send_set_up(self, command: cmd.SendSetUp) -> None:
         timeout_ms = max(1, (command.deadline - self.loop.now()) // US_PER_MS)
+        if command.attempt:
+            self.log(
+                "retry",
+                call=command.call_id.hex(),
+                host=command.host.decode(),
+                attempt=command.attempt + 1,
+                timeout_ms=timeout_ms,
+            )
         service, title, description = command.forwarded
         params = [
             (Param.CLASS, service),
@@ -341,7 +357,16 @@
         if not self.viewers.answer(command.viewer, command.call_id, command.description):
             self.handle_viewer_left(command.call_id)
 
+    def _log_unserved(self, event: str, command: cmd.RefuseRequest | cmd.FailRequest) -> None:
+        evidence = command.evidence.value if command.evidence is not None else None
+        self.log(event, call=command.call_id.hex(), attempts=command.attempts, evidence=evidence)
+
+    def _fail_request(self, command: cmd.FailRequest) -> None:
+        self._log_unserved("failed", command)
+        self.viewers.reject(command.viewer, command.call_id, Cause.TEMPORARY_FAILURE)
+
     def _refuse_request(self, command: cmd.RefuseRequest) -> None:
+        self._log_unserved("refused", command)
         cause = Cause.SWITCHING_EQUIPMENT_CONGESTION
         self.viewers.reject(command.viewer, command.call_id, cause, -(-command.retry_after // US_PER_MS))
 
@@ -363,7 +388,7 @@
     cmd.SendRung: lambda node, c: node.hosts.send_rung(c.host, c.call_id, c.rung),
     cmd.AnswerRequest: Node._answer_request,
     cmd.RefuseRequest: Node._refuse_request,
-    cmd.FailRequest: lambda node, c: node.viewers.reject(c.viewer, c.call_id, Cause.TEMPORARY_FAILURE),
+    cmd.FailRequest: Node._fail_request,
     cmd.ReleaseToViewer: Node._release_to_viewer,
     cmd.MoveViewer: lambda node, c: node.viewers.end_session(
         c.viewer, c.call_id, encode(MessageKind.MOVE, c.call_id)
@@ -380,7 +405,11 @@
 def run(path: str) -> int:
     """Run until the shutdown after SIGTERM is complete. Return the exit code: 2 if the start fails."""
     log = make_log_function(
-        sys.stderr, time.time, MAX_LINES_PER_SECOND, gateway=os.environ.get("NODE_NAME", "")
+        sys.stderr,
+        time.time,
+        MAX_LINES_PER_SECOND,
+        always=_LIFECYCLE_EVENTS,
+        gateway=os.environ.get("NODE_NAME", ""),
     )
     loop = SelectorLoop(lambda text: log("error", text=text))
 
--- a/mintmast/signalling/viewerconnection.py
+++ b/mintmast/signalling/viewerconnection.py
@@ -94,6 +94,7 @@
         """Start using the connection, or abort it if the limit of connections was reached."""
         self.stream, self.peer = stream, stream.peer[0]
         if self.is_closing:
+            self.viewers.log("viewer closed", peer=self.peer, why="the limit of connections is reached")
             stream.abort()
 
     def received(self, data: bytes) -> None:
@@ -168,10 +169,12 @@
         elif self._reserve_memory(parsed):
             self.queued_set_ups[call_id] = parsed, self.last_received_at
         else:
+            self.viewers.log("refused", call=call_id.hex(), why="no memory for more set-ups")
             self.write(encode_release(call_id, Cause.SWITCHING_EQUIPMENT_CONGESTION))
 
     def _reject_set_up(self, call_id: bytes, cause: Cause, is_known: bool) -> None:
         """Fail an invalid set-up; `is_known` if its call reference is already in use."""
+        self.viewers.log("failed", call=call_id.hex(), why=cause.name)
         self.write(encode_release(call_id, cause))
         if is_known and self.had_session:
             self.viewers.fail_duplicate(call_id)
@@ -225,11 +228,14 @@
 
     def close_with_error(self, cause: Cause, reason: str) -> None:
         """Fail the open set-ups and close: the peer violated the protocol or its time limits."""
-        if self.sessions:
-            viewers = self.viewers
-            viewers.log(
-                "viewer closed", peer=self.peer, cause=cause.name, why=reason, sessions=len(self.sessions)
-            )
+        self.viewers.log(
+            "viewer closed",
+            peer=self.peer,
+            cause=cause.name,
+            why=reason,
+            sessions=len(self.sessions),
+            open=len(self.open_set_ups),
+        )
         for call_id in self._abandon_set_ups():
             self.write(encode_release(call_id, cause))
         self.close()
@@ -247,13 +253,18 @@
     def abort_if_stuck(self, now: int) -> None:
         """Abort a closing connection whose peer has not taken the queued data in time."""
         if self.stream is not None and now - self.closing_since > MESSAGE_TIMEOUT_US:
+            self.viewers.log("viewer closed", peer=self.peer, why="it does not take the queued data")
             self.stream.abort()
 
     def closed(self, reason: CloseReason) -> None:
         """Report the end of the connection, the undelivered messages and the open set-ups."""
-        if self.sessions and not self.is_closing:
+        if not self.is_closing:
             self.viewers.log(
-                "viewer disconnected", peer=self.peer, how=reason.value, sessions=len(self.sessions)
+                "viewer disconnected",
+                peer=self.peer,
+                how=reason.value,
+                sessions=len(self.sessions),
+                open=len(self.open_set_ups),
             )
         bytes_sent = self.stream.bytes_sent if self.stream is not None else 0
         undelivered = [
--- a/mintmast/signalling/viewers.py
+++ b/mintmast/signalling/viewers.py
@@ -85,6 +85,7 @@
         ]
         for connection in sorted(connections, key=lambda e: (e.is_verified, e.last_received_at)):
             if not connection.has_unread():  # unread data may hold a set-up, which a close would lose
+                self.log("viewer closed", peer=connection.peer, why="idle, and the limit is reached")
                 connection.close()
                 return True
         return False
@@ -198,6 +199,15 @@
         for connection in list(self.connections.values()):
             connection.close(linger=True)
 
+    def count_pending(self) -> dict[str, int]:
+        """Count the open set-ups, and the connections with unread and with unsent data, for the log."""
+        connections = [connection for connection in self.connections.values() if not connection.is_closing]
+        return {
+            "open": sum(len(connection.open_set_ups) for connection in connections),
+            "unread": sum(connection.has_unread() for connection in connections),
+            "unsent": sum(connection.has_unsent() for connection in connections),
+        }
+
     def is_busy(self) -> bool:
         """Return whether a set-up is open, an answer is unsent, or unread data may hold a set-up."""
         connections = [connection for connection in self.connections.values() if not connection.is_closing]
--- a/mintmast/telemetry/lines.py
+++ b/mintmast/telemetry/lines.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import IO, Any
 
 import msgspec
@@ -22,12 +22,16 @@
 
 
 def make_log_function(
-    sink: IO[str], wall: Callable[[], float], max_per_second: int = 0, **bound: Any
+    sink: IO[str],
+    wall: Callable[[], float],
+    max_per_second: int = 0,
+    always: Collection[str] = (),
+    **bound: Any,
 ) -> LogFunction:
     """Return a function that writes a JSON line of the bound fields, its own fields, the event and the time.
 
-    `max_per_second` limits the lines, 0 is no limit. The next line has the number of lines that were
-    dropped in `left_out`, including those that could not be written.
+    `max_per_second` limits the lines, 0 is no limit; events in `always` are exempt. The next line has the
+    number of lines that were dropped in `left_out`, including those that could not be written.
     """
     encoder = msgspec.json.Encoder(enc_hook=str)
     second = written = left_out = 0
@@ -35,7 +39,8 @@
     def log(event: str, **fields: Any) -> None:
         nonlocal second, written, left_out
         now = wall()
-        if max_per_second and int(now) == second and written >= max_per_second:
+        is_over = max_per_second and int(now) == second and written >= max_per_second
+        if is_over and event not in always:
             left_out += 1
             return
         if int(now) != second:
--- a/tests/test_crossings_sockets.py
+++ b/tests/test_crossings_sockets.py
@@ -5,6 +5,8 @@
 """
 
 import errno
+import io
+import json
 import resource
 import socket
 
@@ -404,3 +406,11 @@
     sink.full = False
     log("two")
     assert '"event":"two"' in sink.text and '"left_out":1' in sink.text
+
+
+def test_the_steps_of_a_shutdown_are_logged_above_the_limit_of_lines():
+    sink = io.StringIO()
+    log = make_log_function(sink, lambda: 1.0, 1, always={"stopping"})
+    for event in ("attempt", "attempt", "stopping"):
+        log(event)
+    assert [json.loads(line)["event"] for line in sink.getvalue().splitlines()] == ["attempt", "stopping"]
--- a/tests/test_node_hard.py
+++ b/tests/test_node_hard.py
@@ -285,3 +285,20 @@
     quick = platform.send_set_up(end, placement="home:0;copies:4;top:0")
     platform.run(0.02)
     assert one_answer(end, quick).kind == MessageKind.ANSWER and not end.messages_for(stuck)
+
+
+def test_retries_refusals_and_failures_are_logged_with_their_call_and_evidence():
+    platform = Platform("a", "b", script=refuse(Cause.NO_CIRCUIT_AVAILABLE))
+    end = platform.viewer()
+    refused = platform.send_set_up(end, "paid")
+    platform.run(1)
+    for host in platform.hosts.values():
+        host.script = refuse(Cause.TEMPORARY_FAILURE)
+    platform.run(2)  # full hosts are left out for a while
+    failed = platform.send_set_up(end, "paid")
+    platform.run(1)
+    lines = [(event, fields) for event, fields in platform.log_lines if "call" in fields]
+    assert ("refused", {"call": refused.hex(), "attempts": 2, "evidence": "full"}) in lines
+    assert ("failed", {"call": failed.hex(), "attempts": 1, "evidence": "cut"}) in lines
+    retry = next(fields for event, fields in lines if event == "retry")
+    assert retry["call"] == refused.hex() and retry["attempt"] == 2 and retry["timeout_ms"] > 0
