--- a/mintmast/lab/soak/audit.py
+++ b/mintmast/lab/soak/audit.py
@@ -7,7 +7,7 @@
 
 from mintmast.lab.soak import frames
 from mintmast.lab.soak.records import Attempt, AttemptEnd, Records, Request
-from mintmast.lab.soak.schedule import MS, SECOND
+from mintmast.lab.soak.schedule import MS, SECOND, HostState
 
 # µs after its time in which an answer is late but not lost; after SIGTERM in which a request may be left to
 # SIGKILL; after a viewer's cancel in which an attempt may still begin; and in which a start must be ready
@@ -29,7 +29,7 @@
             self.broken.append(text)
 
 
-def audit(records: Records, ended_at: int) -> dict[str, Verdict]:
+def audit(records: Records, ended_at: int, drain_grace: int) -> dict[str, Verdict]:
     """Judge a run whose last moment was `ended_at`; return a verdict for each rule."""
     return {
         "every request is answered": _judge_answers(records, ended_at),
@@ -37,6 +37,7 @@
         "no paid set-up twice": _judge_paid_set_ups(records),
         "a refused request never ran": _judge_refusals(records),
         "no attempt after a cancel": _judge_cancels(records),
+        "drains kept": _judge_drains(records, drain_grace),
         "no crash": _judge_ends(records),
         "ready in time": _judge_readiness(records, ended_at),
     }
@@ -116,6 +117,27 @@
     return verdict
 
 
+def _judge_drains(records: Records, drain_grace: int) -> Verdict:
+    """Judge the attempts at hosts that drained or were gone, from the grace after the change was told."""
+    verdict = Verdict()
+    for attempt in records.attempts:
+        since = _drained_since(records, attempt)
+        if since is not None:
+            late = attempt.received_at - since
+            text = f"{attempt.call_id.hex()} to {attempt.host} {late / SECOND:.3f} s after its drain was told"
+            verdict.judge(late <= drain_grace + SOCKET_SLACK_US, text)
+    return verdict
+
+
+def _drained_since(records: Records, attempt: Attempt) -> int | None:
+    """Return since when an attempt's host counted as draining or gone; None if it was ready."""
+    since = None
+    for notice in records.notices:
+        if notice.host == attempt.host and notice.at <= attempt.received_at:
+            since = None if notice.state is HostState.READY else since or notice.told_at
+    return since
+
+
 def _judge_ends(records: Records) -> Verdict:
     verdict = Verdict()
     for start in records.starts:
--- a/mintmast/lab/soak/gateway.py
+++ b/mintmast/lab/soak/gateway.py
@@ -14,7 +14,7 @@
 from mintmast.lab.soak import frames
 from mintmast.lab.soak.frames import FrameReader, encode_frame
 from mintmast.lab.soak.records import Records, Start
-from mintmast.lab.soak.schedule import MS, Schedule
+from mintmast.lab.soak.schedule import MS, HostState, Schedule
 from mintmast.lab.soak.viewers import Front
 from mintmast.loop import CloseReason, Handler, Loop, Stream
 
@@ -27,12 +27,17 @@
     """A gateway that is started again whenever its process has ended."""
 
     def __init__(
-        self, loop: Loop, records: Records, front: Front, folder: Path, document: dict[str, Any]
+        self,
+        loop: Loop,
+        records: Records,
+        front: Front,
+        folder: Path,
+        make_document: Callable[[], dict[str, Any]],
     ) -> None:
         self.loop, self.records, self.front = loop, records, front
+        self._make_document = make_document
         self.log_path = folder / f"{front.name}.log"
         self._config_path = folder / f"{front.name}.json"
-        self._config_path.write_text(json.dumps(document))
         self._process: subprocess.Popen | None = None
         self._start: Start | None = None
         self._is_closed = False
@@ -41,6 +46,7 @@
         """Start the process and wait until a health check passes."""
         if self._is_closed:
             return
+        self._write_configuration()
         environment = os.environ | {"NODE_CONFIG": str(self._config_path), "NODE_NAME": self.front.name}
         with self.log_path.open("ab") as log:
             command = [sys.executable, "-m", "mintmast", "node"]
@@ -50,13 +56,16 @@
         self._look(self._process)
         self._check_health()
 
+    def _write_configuration(self) -> None:
+        self._config_path.write_text(json.dumps(self._make_document()))
+
     def send_signal(self, sent: signal.Signals) -> None:
-        """Send a signal to a process that is ready; SIGKILL only to one that got a SIGTERM before."""
+        """Send a signal to a process that is ready, or was when it got a SIGTERM."""
         start, process = self._start, self._process
         if process is None or start is None or start.ended_at is not None or start.ready_at is None:
             return
-        if sent is signal.SIGKILL and start.time_of(signal.SIGTERM) is None:
-            return
+        if sent is signal.SIGHUP:
+            self._write_configuration()
         start.signals.append((self.loop.now(), sent))
         process.send_signal(sent)
         if sent is signal.SIGTERM:
@@ -121,23 +130,28 @@
         self._stream = None
 
 
+def host_entry(number: int, place: tuple[str, int], state: HostState) -> dict[str, Any]:
+    """Return a host's entry in the list."""
+    entry = {"id": f"host-{number}", "addr": f"{place[0]}:{place[1]}", "zone": "east", "kind": "std"}
+    return entry | {"cell": number % 4, "state": state.value, "weight": 1, "started_ms": 0}
+
+
 def gateway_document(
-    schedule: Schedule, front: Front, change_log: tuple[str, int], hosts: dict[str, tuple[str, int]]
+    schedule: Schedule,
+    front: Front,
+    change_log: tuple[str, int],
+    entries: list[dict[str, Any]],
+    events: list[dict[str, Any]],
 ) -> dict[str, Any]:
-    """Return the configuration of a gateway, with settings as the platform writes them."""
-    entries = [
-        {"id": name, "addr": f"{host}:{port}", "zone": "east", "kind": "std", "cell": number % 4}
-        | {"state": "Ready", "weight": 1, "started_ms": 0}
-        for number, (name, (host, port)) in enumerate(hosts.items())
-    ]
-    known = {"seq": 1, "fleet": {"version": 1, "full": True, "servers": entries}}
+    """Return the configuration of a gateway: the hosts at first, and the change log's events since."""
+    known = [{"seq": 1, "fleet": {"version": 1, "full": True, "servers": entries}}, *events]
     return {
         "name": front.name,
         "listen": f"{front.place[0]}:{front.place[1]}",
         "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
         "changelog": f"{change_log[0]}:{change_log[1]}",
-        "known": {"seq": 1, "results": [known]},
+        "known": {"seq": len(known), "results": known},
         "settings": _settings(schedule),
     }
 
@@ -161,5 +175,6 @@
         "nInstances": schedule.gateways,
         "report": {"fields": ["x0"], "via": "piggyback"},
         "services": services,
+        "rules": {"stopSendingWithin": schedule.drain_grace},
         "shapes": ["std"],
     }
--- a/mintmast/lab/soak/records.py
+++ b/mintmast/lab/soak/records.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from mintmast.lab.soak.schedule import HostState
+
 
 class ConnectionEnd(Enum):
     """How a viewer's connection ended."""
@@ -77,6 +79,16 @@
         return next((at for at, sent in self.signals if sent is wanted), None)
 
 
+@dataclass(slots=True)
+class Notice:
+    """A change of a host's state at `at`, and when the rules count it as told to all gateways."""
+
+    host: str
+    state: HostState
+    at: int
+    told_at: int
+
+
 @dataclass(slots=True)
 class Records:
     """All that was seen in one run."""
@@ -84,6 +96,7 @@
     requests: dict[bytes, Request] = field(default_factory=dict)
     attempts: list[Attempt] = field(default_factory=list)
     starts: list[Start] = field(default_factory=list)
+    notices: list[Notice] = field(default_factory=list)
     tracebacks: list[str] = field(default_factory=list)
     longest_stall: int = 0  # of the stand-ins' own loop
 
--- a/mintmast/lab/soak/run.py
+++ b/mintmast/lab/soak/run.py
@@ -5,15 +5,26 @@
 import random
 import tempfile
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
+from typing import Any
 
 from mintmast.lab.ports import Ports, own_address
 from mintmast.lab.soak.audit import Verdict, audit
 from mintmast.lab.soak.change_log import StandInChangeLog
-from mintmast.lab.soak.gateway import GatewayProcess, gateway_document
+from mintmast.lab.soak.gateway import GatewayProcess, gateway_document, host_entry
 from mintmast.lab.soak.host import StandInHost
-from mintmast.lab.soak.records import Records
-from mintmast.lab.soak.schedule import MS, SECOND, HostFault, Schedule
+from mintmast.lab.soak.records import Notice, Records
+from mintmast.lab.soak.schedule import (
+    MS,
+    SECOND,
+    HostFault,
+    HostState,
+    ListChange,
+    LogFault,
+    LogMode,
+    Schedule,
+)
 from mintmast.lab.soak.viewers import Front, StandInViewers
 from mintmast.loop.real import SelectorLoop
 
@@ -21,6 +32,9 @@
 # gateways: half of the shortest time that the audit judges by
 BEAT_US, MAX_STALL_US = 5 * MS, 50 * MS
 START_TIMEOUT_US, SETTLE_US = 20 * SECOND, 6 * SECOND
+# µs after which a change counts as told at the latest: from the begin of a silence, and from when the change
+# log could be reached again after failed calls
+SILENCE_TIME_US, LOST_CALL_TIME_US = 4 * SECOND, 6 * SECOND
 
 
 @dataclass(slots=True)
@@ -52,18 +66,24 @@
         address = own_address()
         ports = Ports(address)
         draw = random.Random(f"{schedule.seed}/hosts")
-        places = {f"host-{number}": (address, ports(f"host-{number}")) for number in range(schedule.hosts)}
+        places = [(address, ports(f"host-{number}")) for number in range(schedule.hosts)]
         self.hosts = [
-            StandInHost(self.loop, self.records, random.Random(draw.random()), name, place)
-            for name, place in places.items()
+            StandInHost(self.loop, self.records, random.Random(draw.random()), f"host-{number}", place)
+            for number, place in enumerate(places)
         ]
         log_place = (address, ports("change-log"))
-        self.change_log = StandInChangeLog(self.loop, log_place)
+        self.change_log = StandInChangeLog(
+            self.loop, log_place, lambda host, state: host_entry(host, places[host], state)
+        )
+        self._silent_since = self._down_until = -LOST_CALL_TIME_US
+        entries = [host_entry(host, place, HostState.READY) for host, place in enumerate(places)]
+
+        def make_document(front: Front) -> dict[str, Any]:
+            return gateway_document(schedule, front, log_place, entries, self.change_log.events)
+
         self.fronts = [Front(f"n{each}", (address, ports(f"n{each}"))) for each in range(schedule.gateways)]
         self.gateways = [
-            GatewayProcess(
-                self.loop, self.records, front, folder, gateway_document(schedule, front, log_place, places)
-            )
+            GatewayProcess(self.loop, self.records, front, folder, partial(make_document, front))
             for front in self.fronts
         ]
         self.viewers = StandInViewers(self.loop, self.records, schedule, self.fronts)
@@ -93,7 +113,7 @@
             raise RuntimeError(self._faults[0])
         for gateway in self.gateways:
             self.records.tracebacks += gateway.read_tracebacks()
-        verdicts = audit(self.records, ended_at)
+        verdicts = audit(self.records, ended_at, self.schedule.drain_grace)
         logs = {each.front.name: each.log_path.read_text(errors="replace") for each in self.gateways}
         return Report(verdicts, self.records, stall > MAX_STALL_US, logs)
 
@@ -112,6 +132,25 @@
         for fault in self.schedule.host_faults:
             self.loop.call_at(begin + fault.at, self.hosts[fault.host].set_mode, fault.mode)
             self.loop.call_at(begin + fault.until, self._end_fault, fault)
+        for change in self.schedule.list_changes:
+            self.loop.call_at(begin + change.at, self._change_list, change)
+        for fault in self.schedule.log_faults:
+            self.loop.call_at(begin + fault.at, self._begin_log_fault, fault, begin)
+            self.loop.call_at(begin + fault.until, self.change_log.set_mode, None)
+
+    def _begin_log_fault(self, fault: LogFault, begin: int) -> None:
+        self.change_log.set_mode(fault.mode)
+        if fault.mode is LogMode.SILENT:
+            self._silent_since = self.loop.now()
+        else:
+            self._down_until = begin + fault.until
+
+    def _change_list(self, change: ListChange) -> None:
+        """Change the list; a change that silence or failed calls withhold counts as told later."""
+        now = self.loop.now()
+        told_at = max(now, self._silent_since + SILENCE_TIME_US, self._down_until + LOST_CALL_TIME_US)
+        self.records.notices.append(Notice(self.hosts[change.host].name, change.state, now, told_at))
+        self.change_log.change(change.host, change.state)
 
     def _end_fault(self, fault: HostFault) -> None:
         if self.hosts[fault.host].mode is fault.mode:
--- a/mintmast/lab/soak/schedule.py
+++ b/mintmast/lab/soak/schedule.py
@@ -5,7 +5,7 @@
 import random
 import signal
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 MS = 1_000
@@ -53,6 +53,39 @@
     at: int
 
 
+class HostState(Enum):
+    """A host's state in the change log, as the protocol names it."""
+
+    READY = "Ready"
+    DRAINING = "Terminating"
+    GONE = "Gone"
+
+
+@dataclass(slots=True, frozen=True)
+class ListChange:
+    """A change of a host's state that the change log has from `at` on."""
+
+    host: int
+    state: HostState
+    at: int
+
+
+class LogMode(Enum):
+    """What the change log does for a while."""
+
+    SILENT = "open watches fall silent; new ones are served"
+    DOWN = "refuses connections, and breaks those that are open"
+
+
+@dataclass(slots=True, frozen=True)
+class LogFault:
+    """The change log's mode from `at` to `until`."""
+
+    mode: LogMode
+    at: int
+    until: int
+
+
 @dataclass(slots=True, frozen=True)
 class Schedule:
     """All that is done to the gateways in one run; `length` is in µs and `rate` in requests per second."""
@@ -65,10 +98,14 @@
     services: tuple[Service, ...]
     host_faults: tuple[HostFault, ...]
     signals: tuple[ProcessSignal, ...]
+    list_changes: tuple[ListChange, ...] = ()
+    log_faults: tuple[LogFault, ...] = ()
+    drain_grace: int = SECOND
     connections: int = 3  # of viewers to each gateway
     repeats_at_once: int = 2  # times that a viewer comes again after a refusal
     cancel_share: float = 0.05  # of requests that their viewer gives up early
     in_pieces_share: float = 0.1  # of requests that are written in pieces
+    close_share: float = 0.0  # of requests after which their viewer's whole connection ends early
 
     @property
     def earliest_kill(self) -> int:
@@ -84,7 +121,8 @@
     signals, at, gateway = [], 2 * SECOND, 0
     while at + kill_after < length - 2 * SECOND:
         if draw.random() < 0.4:
-            signals.append(ProcessSignal(gateway, signal.SIGHUP, at - draw.randrange(10, 400) * MS))
+            for _ in range(draw.choice((1, 3))):
+                signals.append(ProcessSignal(gateway, signal.SIGHUP, at - draw.randrange(10, 400) * MS))
         signals.append(ProcessSignal(gateway, signal.SIGTERM, at))
         signals.append(ProcessSignal(gateway, signal.SIGKILL, at + kill_after))
         at += draw.randrange(kill_after + START_TIME, kill_after + START_TIME + 2 * SECOND)
@@ -106,37 +144,125 @@
     return faults
 
 
+def _crowds(draw: random.Random, gateways: int, length: int, kill_after: int) -> list[ProcessSignal]:
+    """SIGTERM to all gateways within 0.2 s, and SIGKILL at the earliest, twice."""
+    signals = []
+    for begin in (2 * SECOND, length // 2):
+        for gateway in range(gateways):
+            at = begin + draw.randrange(200) * MS
+            signals.append(ProcessSignal(gateway, signal.SIGTERM, at))
+            signals.append(ProcessSignal(gateway, signal.SIGKILL, at + kill_after))
+    return signals
+
+
+def _sudden_kills(draw: random.Random, gateways: int, length: int) -> list[ProcessSignal]:
+    """SIGKILL without a SIGTERM, at any time."""
+    times = range(SECOND, length - 2 * SECOND, 4 * SECOND)
+    return [
+        ProcessSignal(draw.randrange(gateways), signal.SIGKILL, at + draw.randrange(3 * SECOND))
+        for at in times
+    ]
+
+
+def _rolling_drains(draw: random.Random, hosts: int, length: int) -> list[ListChange]:
+    """Hosts drain one after another, most go, and come back."""
+    changes, at = [], 2 * SECOND
+    while at < length - 8 * SECOND:
+        host = draw.randrange(hosts // 2)  # the others stay, so that requests can be served
+        changes.append(ListChange(host, HostState.DRAINING, at))
+        if draw.random() < 0.7:
+            changes.append(ListChange(host, HostState.GONE, at + 3 * SECOND))
+        changes.append(ListChange(host, HostState.READY, at + 6 * SECOND))
+        at += draw.randrange(300, 2500) * MS
+    return sorted(changes, key=lambda change: change.at)
+
+
+def _log_faults(draw: random.Random, length: int) -> list[LogFault]:
+    """Let the change log fall silent or go down every few seconds, for up to 5 s."""
+    faults, at = [], 1500 * MS
+    while at < length - 7 * SECOND:
+        until = at + draw.randrange(500, 5000) * MS
+        faults.append(LogFault(draw.choice(tuple(LogMode)), at, until))
+        at = until + draw.randrange(500, 4000) * MS
+    return faults
+
+
+_STANDARD_SERVICES = (Service("paid", True, 3 * SECOND), Service("free", False, 5 * SECOND))
+_SHORT_SERVICES = (Service("paid", True, SECOND), Service("free", False, 500 * MS))
+_MIXED_SERVICES = (Service("paid", True, 500 * MS), Service("free", False, 2 * SECOND))
+_ALL_MODES = tuple(HostMode)
+
+
+def _empty(draw: random.Random, seed: int, services: tuple[Service, ...]) -> Schedule:
+    gateways, hosts = draw.choice((2, 3)), draw.choice((10, 14, 16))
+    return Schedule(seed, gateways, hosts, 24 * SECOND, 80.0, services, (), ())
+
+
+def _with_restarts(
+    draw: random.Random, schedule: Schedule, modes: tuple[HostMode, ...], in_crowds: bool = False
+) -> Schedule:
+    """Add shutdowns, SIGKILL at the page's earliest, and hosts that are faulty meanwhile."""
+    plan = _crowds if in_crowds else _restarts_one_after_another
+    signals = plan(draw, schedule.gateways, schedule.length, schedule.earliest_kill)
+    faults = _faulty_hosts(draw, schedule.hosts, modes, signals)
+    return replace(schedule, signals=tuple(signals), host_faults=tuple(faults))
+
+
 def draw_restarts_while_hosts_hang(seed: int) -> Schedule:
     """Shutdowns one after another while hosts hang; viewers go on sending on open connections."""
-    modes = (HostMode.HANGS, HostMode.SILENT)
-    return _draw_restarts(seed, _STANDARD_SERVICES, modes)
+    draw = random.Random(seed)
+    return _with_restarts(draw, _empty(draw, seed, _STANDARD_SERVICES), (HostMode.HANGS, HostMode.SILENT))
 
 
 def draw_restarts_while_hosts_fail(seed: int) -> Schedule:
     """Shutdowns one after another while hosts hang, are slow, lose answers or reset connections."""
-    return _draw_restarts(seed, _STANDARD_SERVICES, tuple(HostMode))
+    draw = random.Random(seed)
+    return _with_restarts(draw, _empty(draw, seed, _STANDARD_SERVICES), _ALL_MODES)
 
 
 def draw_restarts_with_short_deadlines(seed: int) -> Schedule:
-    """As while hosts fail, with classes of 0.5 and 1 s, so that SIGKILL comes soon."""
-    services = (Service("paid", True, SECOND), Service("free", False, 500 * MS))
-    return _draw_restarts(seed, services, tuple(HostMode))
+    """As while hosts fail, with classes of 0.5 to 2 s, so that SIGKILL comes soon."""
+    draw = random.Random(seed)
+    services = draw.choice((_SHORT_SERVICES, _MIXED_SERVICES))
+    return _with_restarts(draw, _empty(draw, seed, services), _ALL_MODES)
 
 
-_STANDARD_SERVICES = (Service("paid", True, 3 * SECOND), Service("free", False, 5 * SECOND))
+def draw_restarts_in_a_crowd(seed: int) -> Schedule:
+    """All gateways shut down at once, under a crowd of viewers that come again at once and in pieces."""
+    draw = random.Random(seed)
+    schedule = _with_restarts(draw, _empty(draw, seed, _STANDARD_SERVICES), _ALL_MODES, in_crowds=True)
+    return replace(schedule, rate=160.0, connections=8, repeats_at_once=5, in_pieces_share=0.4)
 
 
-def _draw_restarts(seed: int, services: tuple[Service, ...], modes: tuple[HostMode, ...]) -> Schedule:
+def draw_rude_viewers(seed: int) -> Schedule:
+    """Sudden kills, and viewers that cancel, close and reset in the middle of their requests."""
+    draw = random.Random(seed)
+    schedule = _with_restarts(draw, _empty(draw, seed, _STANDARD_SERVICES), _ALL_MODES)
+    signals = _sudden_kills(draw, schedule.gateways, schedule.length)
+    return replace(
+        schedule,
+        signals=tuple(signals),
+        cancel_share=0.3,
+        close_share=0.1,
+        in_pieces_share=0.3,
+        connections=6,
+    )
+
+
+def draw_drains_while_discovery_fails(seed: int) -> Schedule:
+    """Drains while the change log falls silent or is down, and shutdowns."""
     draw = random.Random(seed)
-    gateways, hosts, length = draw.choice((2, 3)), draw.choice((10, 14, 16)), 24 * SECOND
-    empty = Schedule(seed, gateways, hosts, length, 80.0, services, (), ())
-    signals = _restarts_one_after_another(draw, gateways, length, empty.earliest_kill + 50 * MS)
-    faults = _faulty_hosts(draw, hosts, modes, signals)
-    return Schedule(seed, gateways, hosts, length, 80.0, services, tuple(faults), tuple(signals))
+    schedule = _with_restarts(draw, _empty(draw, seed, _STANDARD_SERVICES), (HostMode.SLOW,))
+    changes = _rolling_drains(draw, schedule.hosts, schedule.length)
+    faults = _log_faults(draw, schedule.length)
+    return replace(schedule, list_changes=tuple(changes), log_faults=tuple(faults))
 
 
 CASES: dict[str, Callable[[int], Schedule]] = {
     "restarts-hosts-hang": draw_restarts_while_hosts_hang,
     "restarts-hosts-fail": draw_restarts_while_hosts_fail,
     "restarts-short-deadlines": draw_restarts_with_short_deadlines,
+    "restarts-in-a-crowd": draw_restarts_in_a_crowd,
+    "rude-viewers": draw_rude_viewers,
+    "drains-discovery-fails": draw_drains_while_discovery_fails,
 }
--- a/mintmast/lab/soak/viewers.py
+++ b/mintmast/lab/soak/viewers.py
@@ -122,6 +122,8 @@
 
     def _write_first(self) -> None:
         """Write the oldest set-up, whole or in pieces."""
+        if self.stream is None or not self._unsent:
+            return
         viewers = self.viewers
         data = self._unsent[0][2]
         if viewers.draw.random() < viewers.schedule.in_pieces_share:
@@ -147,6 +149,9 @@
         if viewers.draw.random() < viewers.schedule.cancel_share:
             pause = viewers.draw.randrange(1, 300) * MS
             viewers.loop.call_at(now + pause, self._cancel, request)
+        elif viewers.draw.random() < viewers.schedule.close_share:
+            pause = viewers.draw.randrange(0, 100) * MS
+            viewers.loop.call_at(now + pause, self._leave, viewers.draw.random() < 0.5)
         if self._unsent:
             viewers.loop.call_soon(self._write_first)
 
@@ -157,6 +162,19 @@
             request.cancelled_at = self.viewers.loop.now()
             self.stream.write(encode_release_frame(request.call_id, frames.NORMAL_CLEARING))
 
+    def _leave(self, is_half_closed: bool) -> None:
+        """Close the connection or its sending side: no answer is owed any more to the viewers on it."""
+        if self.stream is None:
+            return
+        for _, request in self._open.values():
+            request.cancelled_at = self.viewers.loop.now()
+        self._open.clear()
+        if is_half_closed:
+            self.stream.finish()
+        else:
+            self.stream.abort()
+        self._end(ConnectionEnd.RESET)
+
     def received(self, data: bytes) -> None:
         """Record the final messages."""
         for frame in self._reader.feed(data):
