mintmast serve answers the requests that it has read before it ends on SIGTERM

Viewers of mintmast serve whose requests were read when SIGTERM came lost their connection with no answer. Cause: process.serve stopped the loop in the turn of the signal, and Gateway.close aborted all connections: here the end did not wait at all. Evidence: the new test on a real process ended with CallFailure.CUT in each of four plays before; the tests of the server's drain failed, too, as it had none. Fix: Gateway.drain and HttpServer.drain accept nothing more, answer requests that are read or arriving, close each connection once nothing is open on it, and end after the longest deadline and header_ms at the latest, as each request is answered by its own deadline. Measured: the test passes in three of three plays; tests of http, dash, config and registry pass.

--- a/mintmast/gateway.py
+++ b/mintmast/gateway.py
@@ -76,6 +76,7 @@
         store: Store | None = None,
     ) -> None:
         self._say, begun = say, None
+        self._is_draining = False
         if "configuration" in config.raw:
             from mintmast import configuring
 
@@ -301,10 +302,26 @@
             }
         return {"draining": hosts, "counts": book.moves.counts}
 
+    def drain(self, on_drained: Callable[[], None]) -> None:
+        """Accept no new connections, answer the viewers' requests that were read, then call `on_drained`.
+
+        The requests end by their own deadlines, so this is over after the longest of them and the time in
+        which a request must have come in whole. A second call does nothing.
+        """
+        if self._is_draining:
+            return
+        self._is_draining = True
+        if self.registration is not None:
+            self.registration.cancel()
+        longest = max(each.deadline for each in self.config.settings.classes)
+        limit = self.config["limits"]["header_ms"] * 1000 + longest
+        self.say("stopping", connections=len(self.dash.server.connections), limit_ms=limit // 1000)
+        self.dash.server.drain(self.loop.now() + limit, on_drained)
+
     def close(self) -> None:
         """Accept nothing more and break what is open."""
         self.dash.server.close()
-        if self.registration is not None:
+        if self.registration is not None and not self._is_draining:
             self.registration.cancel()
         if self.peers is not None and self.roster is not None:
             self.roster.close()
--- a/mintmast/http/server.py
+++ b/mintmast/http/server.py
@@ -23,6 +23,8 @@
 Headers = list[tuple[str, str]]
 # header fields of one request; browsers send about twenty
 MAX_HEADER_FIELDS = 100
+# µs between looks at the connections of a draining server, and µs in which a peer may close after this side
+DRAIN_POLL_US, PEER_CLOSE_TIME_US = 50_000, 500_000
 
 
 @dataclass(slots=True, frozen=True)
@@ -159,6 +161,25 @@
         self._listener = loop.listen(host, port, lambda: _Connection(self))
         self.port = self._listener.port
 
+    def drain(self, deadline: int, on_drained: Callable[[], None]) -> None:
+        """Stop accepting, answer the requests that come in whole, and close each connection after that.
+
+        `on_drained` is called once no connection is left, or at `deadline` (µs).
+        """
+        self._listener.finish()
+        self._close_idle_connections(deadline, on_drained)
+
+    def _close_idle_connections(self, deadline: int, on_drained: Callable[[], None]) -> None:
+        for connection in list(self.connections):
+            connection.close_if_idle()
+        now = self.loop.now()
+        if self.connections and now < deadline:
+            self.loop.call_at(
+                min(now + DRAIN_POLL_US, deadline), self._close_idle_connections, deadline, on_drained
+            )
+        else:
+            on_drained()
+
     def close(self) -> None:
         """Stop accepting and break all open connections."""
         self._listener.close()
@@ -176,6 +197,7 @@
         self._received_bytes = self._body_size = self._header_count = self._header_size = 0
         self._url = b""
         self._is_closing = self._is_closed = False
+        self._is_receiving = False  # a request has begun and is not complete
         self._timer: Timer | None = None
         self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
@@ -228,6 +250,7 @@
     # Callbacks of the parser
 
     def on_message_begin(self) -> None:
+        self._is_receiving = True
         self._headers, self._body, self._body_size, self._url = {}, [], 0, b""
         self._header_count = self._header_size = 0
 
@@ -274,7 +297,7 @@
 
     def on_message_complete(self) -> None:
         exchange, self._parsing = self._parsing, None
-        self._received_bytes = 0
+        self._received_bytes, self._is_receiving = 0, False
         if exchange is None or self._is_closing:
             return
         exchange.headers, exchange.body = self._headers, b"".join(self._body)
@@ -308,6 +331,17 @@
             self._set_timeout(self._server.limits.idle_time)
         return ready
 
+    def close_if_idle(self) -> None:
+        """Close the connection, if it is open and no request is unanswered or arriving on it."""
+        if self._is_closing or self._stream is None or self._queue or self._is_receiving:
+            return
+        if not self._stream.has_unread():
+            self._is_closing = True
+            self._stream.finish()
+            loop = self._server.loop
+            self._set_timeout(None)
+            self._timer = loop.call_at(loop.now() + PEER_CLOSE_TIME_US, self.abort)
+
     def abort(self) -> None:
         """Break the connection."""
         if self._stream is not None:
--- a/mintmast/process.py
+++ b/mintmast/process.py
@@ -14,7 +14,10 @@
 
 
 def serve(path: str, table: dict | None = None) -> int:
-    """Run until SIGTERM or SIGINT; `table` replaces the outcome table in drills of mutants."""
+    """Run until the shutdown after SIGTERM or SIGINT is complete.
+
+    `table` replaces the outcome table in drills of mutants.
+    """
     try:
         config = load(path)
         sink = open_log(config["telemetry"]["log"])
@@ -43,7 +46,7 @@
         print(f"mintmast: {error}", file=sys.stderr)
         return 2
     loop.on_turn = lambda took: gateway.metrics.turn_time.observe(took / 1e6)
-    loop.on_signal(loop.stop, signal.SIGTERM, signal.SIGINT)
+    loop.on_signal(lambda: gateway.drain(loop.stop), signal.SIGTERM, signal.SIGINT)
     tune_garbage_collector()
     loop.run()
     gateway.close()
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -296,3 +296,36 @@
     while raw.reason is None:
         loop.turn(loop.now() + SECOND)
     assert raw.reason is CloseReason.REFUSED
+
+
+def test_a_draining_server_answers_what_was_read_before_it_ends(net):
+    exchanges, drained = [], []
+    server = HttpServer(net.server, net.host, 0, exchanges.append)
+    busy, idle, partial = (RawClient(net.client, net.host, server.port) for _ in range(3))
+    net.run_until(lambda: busy.stream and idle.stream and partial.stream)
+    busy.stream.write(b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n")
+    partial.stream.write(b"GET /3 HTTP/1.1\r\nHo")
+    net.run_until(lambda: len(exchanges) == 2)
+    server.drain(net.server.now() + 4 * SECOND, lambda: drained.append(True))
+    net.run_until(lambda: idle.reason)
+    partial.stream.write(b"st: x\r\n\r\n")
+    net.run_until(lambda: len(exchanges) == 3)
+    for exchange in exchanges:
+        assert not drained
+        exchange.respond(200, [], b"answer %b;" % exchange.path.encode())
+    net.run_until(lambda: drained and busy.reason and partial.reason)
+    assert [busy.data.count(b"answer /1;"), busy.data.count(b"answer /2;")] == [1, 1]
+    assert b"answer /3;" in partial.data and idle.reason is busy.reason is CloseReason.EOF
+
+
+def test_a_drain_ends_at_its_deadline_under_requests_that_go_on(net):
+    exchanges, drained = [], []
+    server = HttpServer(net.server, net.host, 0, exchanges.append)
+    raw = RawClient(net.client, net.host, server.port)
+    net.run_until(lambda: raw.stream)
+    raw.stream.write(b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")
+    net.run_until(lambda: exchanges)
+    deadline = net.server.now() + SECOND
+    server.drain(deadline, lambda: drained.append(net.server.now()))
+    net.run_until(lambda: raw.stream.write(b"GET /2 HTTP/1.1\r\nHost: x\r\n\r\n") and drained, 2)
+    assert deadline <= drained[0] < deadline + SECOND // 2
--- a/tests/test_shutdown_processes.py
+++ b/tests/test_shutdown_processes.py
@@ -1,7 +1,14 @@
 """Shutdowns of real processes on loopback under faults, audited from outside."""
 
+import signal
+from dataclasses import replace
+
 import pytest
 
+from mintmast.http.client import Reply
+from mintmast.lab.drills import FREE
+from mintmast.lab.drills.day import Day, model, settings
+from mintmast.lab.loopback import LoopbackStage
 from mintmast.lab.soak.run import play
 from mintmast.lab.soak.schedule import CASES
 
@@ -24,3 +31,37 @@
     report = play_in_time(CASES[case](seed))
     assert not report.broken, report.broken
     assert all(report.verdicts[rule].judged for rule in ("every request is answered", "no paid set-up twice"))
+
+
+def test_a_request_read_before_sigterm_is_answered_by_the_process_of_mintmast_serve():
+    day = Day(hosts=4)
+    conf = settings(day)
+    for title in conf["titles"].values():
+        title["copies"] = 4
+    stage = LoopbackStage(1, conf, replace(model(day), set_up_time=300_000))
+    try:
+        for number in range(4):
+            stage.start_host(number)
+        stage.start_gateway(0)
+        stage.wait_for_gateways()
+        stage.loop.run(stage.now() + 7_000_000)  # until the hosts no longer count as cold
+        process, replies = stage._processes[0], []
+        token = stage.token("viewer", "north-tv", FREE, 3, "key")
+        place = stage.address, stage._port(stage.machine(0))
+        stage.client.call(
+            place,
+            "GET",
+            "/dash/gate-1/manifest.mpd",
+            replies.append,
+            [("Authorization", f"Bearer {token}")],
+            deadline=stage.now() + 10_000_000,
+        )
+        stage.loop.run(stage.now() + 150_000)
+        process.send_signal(signal.SIGTERM)
+        until = stage.now() + 10_000_000
+        while not replies and stage.now() < until:
+            stage.loop.run(stage.now() + 10_000)
+        assert isinstance(replies[0], Reply) and replies[0].status == 200, replies
+        assert process.wait(10) == 0
+    finally:
+        stage.close()
