A gateway that shuts down takes its registration back before it ends

Seen: found beside the drain of mintmast serve. Registration.cancel was called after the loop had ended, so the registry kept the gateway for up to 90 s and viewers were led to a port that refuses; and its renewal timer went on and registered it again while requests are drained. Change: the registration is taken back first, at most 1 s is waited for the registry's answer, then requests are drained; cancel stops the renewal. Evidence: test_a_registration_that_was_taken_back_is_not_renewed failed before, the gateway being registered again after a second; with the registry cut off the shutdown goes on after 1 s. Measured: tests of registry and rooms pass.

--- a/mintmast/gateway.py
+++ b/mintmast/gateway.py
@@ -30,6 +30,8 @@
 
 # µs between renewals in the registry: Eureka's own default, a third of the time after which it forgets
 REGISTER_EVERY = 30_000_000
+# µs in which the registry may confirm that a registration is taken back, before a shutdown goes on
+DEREGISTRATION_TIME_US = 1_000_000
 
 
 class Store(StorePort, Protocol):
@@ -305,17 +307,28 @@
     def drain(self, on_drained: Callable[[], None]) -> None:
         """Accept no new connections, answer the viewers' requests that were read, then call `on_drained`.
 
-        The requests end by their own deadlines, so this is over after the longest of them and the time in
-        which a request must have come in whole. A second call does nothing.
+        The registration is taken back first, as viewers come while it stands. A second call does nothing.
         """
         if self._is_draining:
             return
         self._is_draining = True
-        if self.registration is not None:
-            self.registration.cancel()
+        self.say("stopping", connections=len(self.dash.server.connections))
+        if self.registration is None:
+            self._drain_requests(on_drained)
+            return
+        timer = self.loop.call_at(self.loop.now() + DEREGISTRATION_TIME_US, self._drain_requests, on_drained)
+
+        def finish_early() -> None:
+            if timer.callback is not None:
+                timer.cancel()
+                self._drain_requests(on_drained)
+
+        self.registration.cancel(finish_early)
+
+    def _drain_requests(self, on_drained: Callable[[], None]) -> None:
+        """Drain the viewers' connections; each request ends by its own deadline once it has come in whole."""
         longest = max(each.deadline for each in self.config.settings.classes)
         limit = self.config["limits"]["header_ms"] * 1000 + longest
-        self.say("stopping", connections=len(self.dash.server.connections), limit_ms=limit // 1000)
         self.dash.server.drain(self.loop.now() + limit, on_drained)
 
     def close(self) -> None:
--- a/mintmast/sources/eureka.py
+++ b/mintmast/sources/eureka.py
@@ -18,7 +18,7 @@
 from mintmast.decisions.hosts.registry import Instance, RegistryReader, build_list_entries
 from mintmast.http.client import CallFailure, ClientLimits, HttpClient, Reply
 from mintmast.interface import ListEntry
-from mintmast.loop import Loop
+from mintmast.loop import Loop, Timer
 
 SECOND = 1_000_000
 # bytes of a body, as sent and unpacked: 10,000 instances are some 15 MB of JSON
@@ -214,6 +214,7 @@
         self._base = f"{parts.path.rstrip('/')}/apps/{quote(app.upper())}"
         self._name, self._client = name, HttpClient(loop, ClientLimits(connect_time=every))
         self._known = False
+        self._renewal: Timer | None = None
         self._body = msgspec.json.encode(
             {
                 "instance": {
@@ -238,17 +239,22 @@
             self._call("PUT", f"{self._base}/{quote(self._name)}", b"")
         else:
             self._call("POST", self._base, self._body)
-        self.loop.call_at(self.loop.now() + self.every, self.start)
+        self._renewal = self.loop.call_at(self.loop.now() + self.every, self.start)
 
-    def cancel(self) -> None:
-        """Take the registration back."""
-        self._call("DELETE", f"{self._base}/{quote(self._name)}", b"")
+    def cancel(self, on_done: Callable[[], None] = lambda: None) -> None:
+        """Take the registration back and renew it no more; `on_done` is called when the call has ended."""
+        if self._renewal is not None:
+            self._renewal.cancel()
+        self._call("DELETE", f"{self._base}/{quote(self._name)}", b"", on_done)
 
-    def _call(self, method: str, target: str, body: bytes) -> None:
+    def _call(
+        self, method: str, target: str, body: bytes, on_done: Callable[[], None] = lambda: None
+    ) -> None:
         headers = [("Content-Type", "application/json")] if body else []
         until = self.loop.now() + self.every
 
         def done(reply: Reply | CallFailure) -> None:
             self._known = isinstance(reply, Reply) and reply.status in (200, 204)
+            on_done()
 
         self._client.call(self._place, method, target, done, headers, body, until)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -5,6 +5,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from world import Small
 
 from mintmast.decisions.hosts.registry import (
     POLLS_PER_FULL_READ,
@@ -192,11 +193,40 @@
     node.gateways.clear()
     world.run(world.time + 3 * S)
     assert "gw0:8080" in node.gateways
-    registration.cancel()
+    confirmed = []
+    registration.cancel(lambda: confirmed.append(True))
     world.run(world.time + S // 2)
+    assert not node.gateways and confirmed == [True]
+
+
+def test_a_registration_that_was_taken_back_is_not_renewed():
+    world = World(1)
+    node = RegistryStandIn(world.node("r"), "r", 8761)
+    registration = Registration(world.node("g"), "http://r:8761/eureka", "gate", "gw0:8080", "gw0", 8080, S)
+    registration.start()
+    world.run(world.time + 2 * S)
+    registration.cancel()
+    world.run(world.time + 5 * S)
     assert not node.gateways
 
 
+@pytest.mark.parametrize("is_reachable", [True, False])
+def test_a_gateway_that_shuts_down_takes_its_registration_back_and_waits_for_no_dead_registry(is_reachable):
+    world = Small()
+    gateway, network = world.stage.gateways[0], world.stage.world
+    node = RegistryStandIn(network.node("r"), "r", 8761)
+    gateway.registration = Registration(gateway.loop, "http://r:8761/eureka", "gate", "g:1", "g", 1, 30 * S)
+    gateway.registration.start()
+    world.run(1)
+    assert "g:1" in node.gateways
+    if not is_reachable:
+        network.cut_paths |= {("r", gateway.loop.name), (gateway.loop.name, "r")}
+    drained = []
+    gateway.drain(lambda: drained.append(True))
+    world.run(2)
+    assert drained and ("g:1" not in node.gateways) == is_reachable
+
+
 def test_a_dark_or_half_empty_registry_costs_no_service():
     calm = drills.run("registry-calm", 3, "memory")["worth"]["answered"]
     for name in ("registry-dark", "registry-half"):
