The soak's viewers send what crossed a close on a new connection, as the page says

The protocol page has such a set-up sent once more on a new connection. Change: the stand-in does that; the rule and its 50 ms stay.

--- a/mintmast/lab/soak/viewers.py
+++ b/mintmast/lab/soak/viewers.py
@@ -66,12 +66,17 @@
         if preferred is not None and preferred.is_usable:
             preferred.send(wish)
             return
-        reachable = [front for front in self.fronts if front.accepts or self._usable(front)]
+        # what crossed a close is sent once more on a new connection
+        reachable = [
+            front
+            for front in self.fronts
+            if front.accepts or (self._usable(front) and not wish.is_sent_again)
+        ]
         if not reachable:
             return
         front = self.draw.choice(reachable)
         usable = self._usable(front)
-        if front.accepts and len(usable) < self.schedule.connections:
+        if front.accepts and (wish.is_sent_again or len(usable) < self.schedule.connections):
             connection = ViewerConnection(self, front)
             self.connections[front.name].append(connection)
             self.loop.connect(*front.place, connection)
