--- a/mintmast/lab/soak/run.py
+++ b/mintmast/lab/soak/run.py
@@ -14,12 +14,14 @@
 from mintmast.lab.soak.change_log import StandInChangeLog
 from mintmast.lab.soak.gateway import GatewayProcess, gateway_document, host_entry
 from mintmast.lab.soak.host import StandInHost
+from mintmast.lab.soak.proxy import Proxy
 from mintmast.lab.soak.records import Notice, Records
 from mintmast.lab.soak.schedule import (
     MS,
     SECOND,
-    HostFault,
+    HostMode,
     HostState,
+    LinkMode,
     ListChange,
     LogFault,
     LogMode,
@@ -71,12 +73,17 @@
             StandInHost(self.loop, self.records, random.Random(draw.random()), f"host-{number}", place)
             for number, place in enumerate(places)
         ]
+        links = [(address, ports(f"link-{number}")) for number in range(schedule.hosts)]
+        self.proxies = [
+            Proxy(self.loop, random.Random(draw.random()), link, place)
+            for link, place in zip(links, places, strict=True)
+        ]
         log_place = (address, ports("change-log"))
         self.change_log = StandInChangeLog(
-            self.loop, log_place, lambda host, state: host_entry(host, places[host], state)
+            self.loop, log_place, lambda host, state: host_entry(host, links[host], state)
         )
         self._silent_since = self._down_until = -LOST_CALL_TIME_US
-        entries = [host_entry(host, place, HostState.READY) for host, place in enumerate(places)]
+        entries = [host_entry(host, place, HostState.READY) for host, place in enumerate(links)]
 
         def make_document(front: Front) -> dict[str, Any]:
             return gateway_document(schedule, front, log_place, entries, self.change_log.events)
@@ -107,7 +114,7 @@
             self.loop.run(end + SETTLE_US)
             stall, ended_at = self.records.longest_stall, self.loop.now()
         finally:
-            for each in (*self.gateways, self.viewers, *self.hosts, self.change_log):
+            for each in (*self.gateways, self.viewers, *self.proxies, *self.hosts, self.change_log):
                 each.close()
         if self._faults:
             raise RuntimeError(self._faults[0])
@@ -129,9 +136,14 @@
     def _schedule_faults(self, begin: int) -> None:
         for each in self.schedule.signals:
             self.loop.call_at(begin + each.at, self.gateways[each.gateway].send_signal, each.sent)
-        for fault in self.schedule.host_faults:
-            self.loop.call_at(begin + fault.at, self.hosts[fault.host].set_mode, fault.mode)
-            self.loop.call_at(begin + fault.until, self._end_fault, fault)
+        for faults, targets in (
+            (self.schedule.host_faults, self.hosts),
+            (self.schedule.link_faults, self.proxies),
+        ):
+            for fault in faults:
+                target = targets[fault.host]
+                self.loop.call_at(begin + fault.at, target.set_mode, fault.mode)
+                self.loop.call_at(begin + fault.until, _end_fault, target, fault.mode)
         for change in self.schedule.list_changes:
             self.loop.call_at(begin + change.at, self._change_list, change)
         for fault in self.schedule.log_faults:
@@ -152,6 +164,8 @@
         self.records.notices.append(Notice(self.hosts[change.host].name, change.state, now, told_at))
         self.change_log.change(change.host, change.state)
 
-    def _end_fault(self, fault: HostFault) -> None:
-        if self.hosts[fault.host].mode is fault.mode:
-            self.hosts[fault.host].set_mode(None)
+
+def _end_fault(target: StandInHost | Proxy, mode: HostMode | LinkMode) -> None:
+    """End a fault, unless another one has begun since."""
+    if target.mode is mode:
+        target.set_mode(None)
--- a/mintmast/lab/soak/schedule.py
+++ b/mintmast/lab/soak/schedule.py
@@ -25,6 +25,15 @@
     RESETS = "resets the connection under a set-up"
 
 
+class LinkMode(Enum):
+    """What the network between the gateways and a host does for a while."""
+
+    LATE_UP = "connections come up after 50 to 400 ms"
+    CLOSES_AT_ONCE = "connections are closed as soon as they are up"
+    CUT = "nothing arrives in either direction, then connections are closed"
+    CUT_TO_GATEWAY = "nothing arrives from the host, then connections are closed"
+
+
 @dataclass(slots=True, frozen=True)
 class Service:
     """A class of requests; `deadline` in µs."""
@@ -44,6 +53,16 @@
     until: int
 
 
+@dataclass(slots=True, frozen=True)
+class LinkFault:
+    """The mode of the network to a host from `at` to `until`."""
+
+    host: int
+    mode: LinkMode
+    at: int
+    until: int
+
+
 @dataclass(slots=True, frozen=True)
 class ProcessSignal:
     """A signal to a gateway's process at a time in µs from the run's begin."""
@@ -98,6 +117,7 @@
     services: tuple[Service, ...]
     host_faults: tuple[HostFault, ...]
     signals: tuple[ProcessSignal, ...]
+    link_faults: tuple[LinkFault, ...] = ()
     list_changes: tuple[ListChange, ...] = ()
     log_faults: tuple[LogFault, ...] = ()
     drain_grace: int = SECOND
@@ -234,6 +254,17 @@
     return replace(schedule, rate=160.0, connections=8, repeats_at_once=5, in_pieces_share=0.4)
 
 
+def draw_restarts_under_cuts(seed: int) -> Schedule:
+    """Shutdowns while links to half of the hosts are cut, come up late or close at once."""
+    draw = random.Random(seed)
+    schedule = _with_restarts(draw, _empty(draw, seed, _STANDARD_SERVICES), (HostMode.SLOW,))
+    faults = [
+        LinkFault(each.host, draw.choice(tuple(LinkMode)), each.at, each.until)
+        for each in schedule.host_faults
+    ]
+    return replace(schedule, link_faults=tuple(faults), host_faults=())
+
+
 def draw_rude_viewers(seed: int) -> Schedule:
     """Sudden kills, and viewers that cancel, close and reset in the middle of their requests."""
     draw = random.Random(seed)
@@ -263,6 +294,7 @@
     "restarts-hosts-fail": draw_restarts_while_hosts_fail,
     "restarts-short-deadlines": draw_restarts_with_short_deadlines,
     "restarts-in-a-crowd": draw_restarts_in_a_crowd,
+    "restarts-under-cuts": draw_restarts_under_cuts,
     "rude-viewers": draw_rude_viewers,
     "drains-discovery-fails": draw_drains_while_discovery_fails,
 }
