Tests of the shutdown's deadlines, its refusals and the messages that arrive meanwhile

Need: the plan, the clipped timeouts, the end of requests from before SIGTERM, refusals without an attempt and messages in pieces were covered by the reproduction only.

--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -104,11 +104,24 @@
         elif kind == "note":
             note = list(NoteKind)[pick % 4]
             self.apply(self.calls.handle_note(self.now, call, host, note, (pick % 30) / 10))
+        elif kind == "end unanswered":
+            self.end_unanswered(pick)
         elif kind == "list":
             state = (ServerState.READY, ServerState.DRAINING, ServerState.GONE)[pick % 3]
             update = api.ServerList(api.ListKind.DELTA, self.now, (server_entry(pick % 4, state),))
             self.apply(self.calls.handle_list(self.now, update))
 
+    def end_unanswered(self, pick):
+        for place, (call, host) in enumerate(self.calls.attempts_in_progress()):
+            may_have_arrived = bool(pick >> place % 16 & 1)
+            if may_have_arrived:
+                self.ran.add(call)
+            commands = self.calls.end_unanswered(self.now, call, may_have_arrived)
+            assert isinstance(commands[0], c.FailRequest if call in self.ran else c.RefuseRequest)
+            self.apply(commands)
+            if not may_have_arrived and self.attempts.pop(call, None) is not None:
+                self.apply(self.calls.handle_attempt_end(self.now, call, host, Evidence.WITHDRAWN))
+
     def settle(self):
         """End all attempts and sessions, as their hosts eventually would."""
         for _ in range(10):
@@ -122,7 +135,7 @@
 
 
 KINDS = ["request", "request", "answer", "answer", "attempt end"]
-KINDS += ["viewer left", "session end", "host death", "note", "list"]
+KINDS += ["viewer left", "session end", "host death", "note", "list", "end unanswered"]
 
 
 @settings(max_examples=150, deadline=None)
