--- a/mintmast/cli/__init__.py
+++ b/mintmast/cli/__init__.py
@@ -4,6 +4,7 @@
 
 import json
 import sys
+from pathlib import Path
 from typing import Any
 
 import click
@@ -293,6 +294,24 @@
     sys.exit(operate(admin, token, "GET", "/v1/moves", None))
 
 
+@main.command()
+@click.option("--case", "cases", multiple=True, help="Case to play; may be repeated, all without it.")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="First seed.")
+@click.option("--seeds", type=click.IntRange(1, 100_000), default=1, show_default=True, help="Seeds.")
+@click.option("--jobs", type=click.IntRange(1, 64), default=1, show_default=True, help="Runs at once.")
+@click.option("--json", "as_json", is_flag=True, help="Print a JSON object for each run.")
+@click.option(
+    "--keep",
+    type=click.Path(file_okay=False, path_type=Path),
+    help="Folder for the records of runs that broke a rule.",
+)
+def soak(cases: tuple[str, ...], seed: int, seeds: int, jobs: int, as_json: bool, keep: Path | None) -> None:
+    """Run processes of the platform's gateway on loopback under seeded faults, and judge the rules."""
+    from mintmast.cli.soak import soak as run
+
+    sys.exit(run(cases, seed, seeds, jobs, as_json, keep))
+
+
 @main.command()
 @click.argument("name")
 @click.option("--seed", type=int, default=1, show_default=True, help="First seed.")
--- a/tests/test_shutdown_processes.py
+++ b/tests/test_shutdown_processes.py
@@ -4,7 +4,9 @@
 from dataclasses import replace
 
 import pytest
+from click.testing import CliRunner
 
+from mintmast.cli import main
 from mintmast.http.client import Reply
 from mintmast.lab.drills import FREE
 from mintmast.lab.drills.day import Day, model, settings
@@ -65,3 +67,8 @@
         assert process.wait(10) == 0
     finally:
         stage.close()
+
+
+def test_the_soak_command_refuses_an_unknown_case():
+    done = CliRunner().invoke(main, ["soak", "--case", "no-such-case"])
+    assert done.exit_code == 2 and "restarts-hosts-hang" in done.stderr
