The soak's audit describes broken cases only, and groups the attempts by call once

Each judged case was described in full, which goes over all attempts, though only the descriptions of broken cases are kept; the attempts were grouped by call once for each of three rules; the lines of broken cases were put together in two places.

--- a/mintmast/cli/soak.py
+++ b/mintmast/cli/soak.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any
 
-from mintmast.lab.soak.audit import Verdict
+from mintmast.lab.soak.audit import Verdict, broken_lines
 from mintmast.lab.soak.run import Report, play
 from mintmast.lab.soak.schedule import CASES, Schedule
 
@@ -95,7 +95,7 @@
 def _lines(run: Run, number: int, total: int) -> str:
     late = f"stand-ins {run.longest_stall_ms:.0f} ms late at the most"
     head = f"{number}/{total} {run.case} seed {run.seed}: {run.state}, {late}"
-    broken = [f"  {rule}: {line}" for rule, each in run.verdicts.items() for line in each.broken]
+    broken = [f"  {line}" for line in broken_lines(run.verdicts)]
     return "\n".join([head, *broken])
 
 
--- a/mintmast/lab/soak/audit.py
+++ b/mintmast/lab/soak/audit.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import signal
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from mintmast.lab.soak import frames
 from mintmast.lab.soak.records import Attempt, AttemptEnd, Records, Request
@@ -22,27 +24,38 @@
     judged: int = 0
     broken: list[str] = field(default_factory=list)
 
-    def judge(self, is_kept: bool, text: str) -> None:
-        """Count a case; `text` describes it if the rule was broken."""
+    def judge(self, is_kept: bool, describe: Callable[[], str]) -> None:
+        """Count a case; `describe` returns its description and is called if the rule was broken."""
         self.judged += 1
         if not is_kept:
-            self.broken.append(text)
+            self.broken.append(describe())
+
+
+AttemptsByCall = dict[bytes, list[Attempt]]
 
 
 def audit(records: Records, ended_at: int, drain_grace: int) -> dict[str, Verdict]:
     """Judge a run whose last moment was `ended_at`; return a verdict for each rule."""
+    by_call: AttemptsByCall = {}
+    for attempt in records.attempts:
+        by_call.setdefault(attempt.call_id, []).append(attempt)
     return {
         "every request is answered": _judge_answers(records, ended_at),
         "one final answer": _judge_single_answers(records),
-        "no paid set-up twice": _judge_paid_set_ups(records),
-        "a refused request never ran": _judge_refusals(records),
-        "no attempt after a cancel": _judge_cancels(records),
+        "no paid set-up twice": _judge_paid_set_ups(records, by_call),
+        "a refused request never ran": _judge_refusals(records, by_call),
+        "no attempt after a cancel": _judge_cancels(records, by_call),
         "drains kept": _judge_drains(records, drain_grace),
         "no crash": _judge_ends(records),
         "ready in time": _judge_readiness(records, ended_at),
     }
 
 
+def broken_lines(verdicts: dict[str, Verdict]) -> list[str]:
+    """Return a line for each case that broke a rule."""
+    return [f"{rule}: {line}" for rule, verdict in verdicts.items() for line in verdict.broken]
+
+
 def _judge_answers(records: Records, ended_at: int) -> Verdict:
     verdict = Verdict()
     for request in records.requests.values():
@@ -56,7 +69,7 @@
         if not request.answers and _is_left_to_kill(records, request):
             continue
         answered_at = request.answers[0].at if request.answers else None
-        verdict.judge(answered_at is not None and answered_at <= due, _describe(records, request))
+        verdict.judge(answered_at is not None and answered_at <= due, partial(_describe, records, request))
     return verdict
 
 
@@ -78,42 +91,37 @@
     verdict = Verdict()
     for request in records.requests.values():
         if request.answers:
-            verdict.judge(len(request.answers) == 1, _describe(records, request))
+            verdict.judge(len(request.answers) == 1, partial(_describe, records, request))
     return verdict
 
 
-def _attempts_by_call(records: Records) -> dict[bytes, list[Attempt]]:
-    by_call: dict[bytes, list[Attempt]] = {}
-    for attempt in records.attempts:
-        by_call.setdefault(attempt.call_id, []).append(attempt)
-    return by_call
-
-
-def _judge_paid_set_ups(records: Records) -> Verdict:
+def _judge_paid_set_ups(records: Records, by_call: AttemptsByCall) -> Verdict:
     verdict = Verdict()
-    for call_id, attempts in _attempts_by_call(records).items():
+    for call_id, attempts in by_call.items():
         request = records.requests.get(call_id)
         if request is not None and request.is_paid:
             may_have_run = [each for each in attempts if each.end is not AttemptEnd.REFUSED]
-            verdict.judge(len(may_have_run) <= 1, _describe(records, request))
+            verdict.judge(len(may_have_run) <= 1, partial(_describe, records, request))
     return verdict
 
 
-def _judge_refusals(records: Records) -> Verdict:
-    verdict, by_call = Verdict(), _attempts_by_call(records)
+def _judge_refusals(records: Records, by_call: AttemptsByCall) -> Verdict:
+    verdict = Verdict()
     for request in records.requests.values():
         if request.is_paid and any(each.cause in frames.REFUSAL_CAUSES for each in request.answers):
             ran = [a for a in by_call.get(request.call_id, ()) if a.end is not AttemptEnd.REFUSED]
-            verdict.judge(not ran, _describe(records, request))
+            verdict.judge(not ran, partial(_describe, records, request))
     return verdict
 
 
-def _judge_cancels(records: Records) -> Verdict:
-    verdict, by_call = Verdict(), _attempts_by_call(records)
+def _judge_cancels(records: Records, by_call: AttemptsByCall) -> Verdict:
+    verdict = Verdict()
     for request in records.requests.values():
         if request.cancelled_at is not None:
             last = max((each.received_at for each in by_call.get(request.call_id, ())), default=0)
-            verdict.judge(last <= request.cancelled_at + CANCEL_GRACE_US, _describe(records, request))
+            verdict.judge(
+                last <= request.cancelled_at + CANCEL_GRACE_US, partial(_describe, records, request)
+            )
     return verdict
 
 
@@ -124,11 +132,14 @@
         since = _drained_since(records, attempt)
         if since is not None:
             late = attempt.received_at - since
-            text = f"{attempt.call_id.hex()} to {attempt.host} {late / SECOND:.3f} s after its drain was told"
-            verdict.judge(late <= drain_grace + SOCKET_SLACK_US, text)
+            verdict.judge(late <= drain_grace + SOCKET_SLACK_US, partial(_describe_late, attempt, late))
     return verdict
 
 
+def _describe_late(attempt: Attempt, late: int) -> str:
+    return f"{attempt.call_id.hex()} to {attempt.host} {late / SECOND:.3f} s after its drain was told"
+
+
 def _drained_since(records: Records, attempt: Attempt) -> int | None:
     """Return since when an attempt's host counted as draining or gone; None if it was ready."""
     since = None
@@ -144,9 +155,10 @@
         if start.ended_at is not None:
             was_killed = start.time_of(signal.SIGKILL) is not None and start.exit_code == -signal.SIGKILL
             was_stopped = start.time_of(signal.SIGTERM) is not None and start.exit_code == 0
-            verdict.judge(was_killed or was_stopped, f"{start.gateway} ended with code {start.exit_code}")
+            describe = partial("{} ended with code {}".format, start.gateway, start.exit_code)
+            verdict.judge(was_killed or was_stopped, describe)
     for line in records.tracebacks:
-        verdict.judge(False, line)
+        verdict.judge(False, partial(str, line))
     return verdict
 
 
@@ -156,9 +168,8 @@
         is_known = start.ready_at is not None or ended_at - start.started_at > READY_US
         if is_known:
             ready_after = (start.ready_at or ended_at) - start.started_at
-            verdict.judge(
-                ready_after <= READY_US, f"{start.gateway} was ready after {ready_after / SECOND:.1f} s"
-            )
+            describe = partial("{} was ready after {:.1f} s".format, start.gateway, ready_after / SECOND)
+            verdict.judge(ready_after <= READY_US, describe)
     return verdict
 
 
--- a/mintmast/lab/soak/run.py
+++ b/mintmast/lab/soak/run.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from mintmast.lab.ports import Ports, own_address
-from mintmast.lab.soak.audit import Verdict, audit
+from mintmast.lab.soak.audit import Verdict, audit, broken_lines
 from mintmast.lab.soak.change_log import StandInChangeLog
 from mintmast.lab.soak.gateway import GatewayProcess, gateway_document, host_entry
 from mintmast.lab.soak.host import StandInHost
@@ -51,7 +51,7 @@
     @property
     def broken(self) -> list[str]:
         """Return a line for each case that broke a rule."""
-        return [f"{rule}: {line}" for rule, verdict in self.verdicts.items() for line in verdict.broken]
+        return broken_lines(self.verdicts)
 
 
 def play(schedule: Schedule) -> Report:
--- a/mintmast/sources/eureka.py
+++ b/mintmast/sources/eureka.py
@@ -242,7 +242,7 @@
         self._renewal = self.loop.call_at(self.loop.now() + self.every, self.start)
 
     def cancel(self, on_done: Callable[[], None] = lambda: None) -> None:
-        """Take the registration back and renew it no more; `on_done` is called when the call has ended."""
+        """Cancel the registration and its renewal; `on_done` is called when the call has ended."""
         if self._renewal is not None:
             self._renewal.cancel()
         self._call("DELETE", f"{self._base}/{quote(self._name)}", b"", on_done)
