A scheduled SIGKILL of the soak no longer hits the successor of a process that stopped

Seen: reading the change again. Cause: when the sudden kills came, the check that SIGKILL goes to a process with a SIGTERM was taken out for all kills. Change: only the kills of rude-viewers are marked sudden; any other goes to a process that got SIGTERM. The new test failed without the check.

--- a/mintmast/lab/soak/gateway.py
+++ b/mintmast/lab/soak/gateway.py
@@ -59,11 +59,13 @@
     def _write_configuration(self) -> None:
         self._config_path.write_text(json.dumps(self._make_document()))
 
-    def send_signal(self, sent: signal.Signals) -> None:
-        """Send a signal to a process that is ready, or was when it got a SIGTERM."""
+    def send_signal(self, sent: signal.Signals, is_sudden: bool) -> None:
+        """Send a signal to a process that has been ready; SIGKILL only after SIGTERM, unless it is sudden."""
         start, process = self._start, self._process
         if process is None or start is None or start.ended_at is not None or start.ready_at is None:
             return
+        if sent is signal.SIGKILL and not is_sudden and start.time_of(signal.SIGTERM) is None:
+            return
         if sent is signal.SIGHUP:
             self._write_configuration()
         start.signals.append((self.loop.now(), sent))
--- a/mintmast/lab/soak/run.py
+++ b/mintmast/lab/soak/run.py
@@ -135,7 +135,9 @@
 
     def _schedule_faults(self, begin: int) -> None:
         for each in self.schedule.signals:
-            self.loop.call_at(begin + each.at, self.gateways[each.gateway].send_signal, each.sent)
+            self.loop.call_at(
+                begin + each.at, self.gateways[each.gateway].send_signal, each.sent, each.is_sudden
+            )
         for faults, targets in (
             (self.schedule.host_faults, self.hosts),
             (self.schedule.link_faults, self.proxies),
--- a/mintmast/lab/soak/schedule.py
+++ b/mintmast/lab/soak/schedule.py
@@ -65,11 +65,15 @@
 
 @dataclass(slots=True, frozen=True)
 class ProcessSignal:
-    """A signal to a gateway's process at a time in µs from the run's begin."""
+    """A signal to a gateway's process at a time in µs from the run's begin.
+
+    A SIGKILL that is not sudden is for the process that got a SIGTERM before, not for its successor.
+    """
 
     gateway: int
     sent: signal.Signals
     at: int
+    is_sudden: bool = False
 
 
 class HostState(Enum):
@@ -179,7 +183,7 @@
     """SIGKILL without a SIGTERM, at any time."""
     times = range(SECOND, length - 2 * SECOND, 4 * SECOND)
     return [
-        ProcessSignal(draw.randrange(gateways), signal.SIGKILL, at + draw.randrange(3 * SECOND))
+        ProcessSignal(draw.randrange(gateways), signal.SIGKILL, at + draw.randrange(3 * SECOND), True)
         for at in times
     ]
 
--- a/tests/test_soak_audit.py
+++ b/tests/test_soak_audit.py
@@ -1,11 +1,13 @@
 """The soak's audit on hand-written records: each rule once kept and once broken."""
 
 import signal
+from types import SimpleNamespace
 
 import pytest
 
 from mintmast.lab.soak import frames
 from mintmast.lab.soak.audit import audit
+from mintmast.lab.soak.gateway import GatewayProcess
 from mintmast.lab.soak.records import (
     Answer,
     Attempt,
@@ -17,6 +19,8 @@
     Start,
 )
 from mintmast.lab.soak.schedule import MS, SECOND, HostState
+from mintmast.lab.soak.viewers import Front
+from mintmast.loop.memory import World
 
 END = 60 * SECOND
 CALL = b"call-one"
@@ -138,3 +142,17 @@
     assert verdict(rule, starts=[start(at=20, ready=30.1)]) == BROKEN
     assert verdict(rule, starts=[start(at=20, ready=None)]) == BROKEN
     assert verdict(rule, starts=[start(at=55, ready=None)]) == NOT_JUDGED
+
+
+def test_a_scheduled_kill_does_not_hit_the_successor_of_a_process_that_stopped(tmp_path):
+    gateway = GatewayProcess(World(1).node("driver"), Records(), Front("n0", ("driver", 1)), tmp_path, dict)
+    sent = []
+    gateway._process = SimpleNamespace(send_signal=sent.append)
+    gateway._start = start()
+    gateway.send_signal(signal.SIGKILL, False)
+    assert not sent
+    gateway.send_signal(signal.SIGTERM, False)
+    gateway.send_signal(signal.SIGKILL, False)
+    gateway._start = start()
+    gateway.send_signal(signal.SIGKILL, True)
+    assert sent == [signal.SIGTERM, signal.SIGKILL, signal.SIGKILL]
