Review case: a session's end is not told after an earlier host repeats its release

Claim: a set-up whose answer never came at one media host is served by a second one; the first host's release with cause 31, repeated on its next connection, makes the gateway forget the session, and its end reaches no viewer. Code concerned: mintmast/signalling/node.py, handle_release (the host is not compared), and viewers.py, end_session. Stand-ins: an address of its own for each run, hosts that confirm a cut session, lost answers, resets of idle connections.

--- a/review/standins.py
+++ b/review/standins.py
@@ -25,14 +25,17 @@
 CLASS, TIMEOUT, TENANT, TITLE, FIGURES, HINT = 16, 18, 20, 24, 26, 36
 CAUSE, DESCRIPTION = 44, 46
 REFUSED_CAUSES = {34, 42, 102}
+PLAYED_TO_ITS_END, CANCELLED = 16, 31
 
 
+# a loopback address of this run's own, so that runs beside each other do not meet
+ADDRESS = f"127.{random.randrange(1, 255)}.{random.randrange(1, 255)}.{random.randrange(1, 255)}"
 # ports below those of outgoing connections, which could take a port before it is listened on
 _PORTS = range(20_000, 32_000)
 _given_ports: set[int] = set()
 
 
-def free_port(address: str = "127.0.0.1") -> int:
+def free_port(address: str = ADDRESS) -> int:
     """Return a port that is free now. Raises OSError if none is found."""
     for _ in range(1000):
         port = random.choice(_PORTS)
@@ -101,7 +104,7 @@
         self.record, self.answer_delay = record, 0.0
         full = {"version": 1, "full": True, "servers": servers}
         self.events = [{"seq": 1, "fleet": full}]
-        self.address, self.port = "127.0.0.1", free_port()
+        self.address, self.port = ADDRESS, free_port()
         self._changed = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
@@ -164,15 +167,21 @@
 class MediaHost:
     """A sound media host. `test_delay` and `answer_delay` are seconds, `life` that of a session."""
 
-    def __init__(self, record: Record, name: str, cell: int = 0, address: str = "127.0.0.1") -> None:
+    def __init__(self, record: Record, name: str, cell: int = 0, address: str = ADDRESS) -> None:
         self.record, self.name, self.cell, self.address = record, name, cell, address
         self.port = free_port(address)
         self.test_delay, self.answer_delay, self.life = 0.0, 0.02, 20.0
         self.set_ups: list[tuple[float, bytes, bytes]] = []  # when it came whole, the session and the class
         self.standing: dict[bytes, asyncio.StreamWriter] = {}
+        self.ends: dict[bytes, float] = {}  # when each session had played to its end
         self._open: dict[bytes, asyncio.StreamWriter] = {}
         self._writers: list[asyncio.StreamWriter] = []
-        self._unheard: list[bytes] = []
+        # share of the set-ups that run while their answer never comes; their connection is of no more use
+        self.lost_answers = 0.0
+        self._useless: set[asyncio.StreamWriter] = set()
+        self._used_at: dict[asyncio.StreamWriter, float] = {}  # when a message was last passed
+        # sessions that ended since the last connection was opened, with the cause to send on the next one
+        self._unheard: list[tuple[bytes, int]] = []
         self._server: asyncio.Server | None = None
 
     def entry(self, state: str = "Ready", started_ms: int = 0) -> dict:
@@ -196,22 +205,39 @@
         """Stop listening and reset all connections; all sessions are cut."""
         if self._server is not None:
             self._server.close()
-        for writer in list(self._writers):
+        for writer in [*self._writers, *self._useless]:
             writer.transport.abort()
         self.standing.clear()
 
+    def reset_idle(self, quiet: float) -> None:
+        """Reset a connection on which nothing was open or passed for `quiet` seconds, if there is one."""
+        before = self.record.now() - quiet
+        idle = [each for each in self._writers if self._used_at[each] < before]
+        idle = [each for each in idle if each not in self._open.values()]
+        if idle:
+            self.record.write(self.name, "an idle connection is reset")
+            random.choice(idle).transport.abort()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.append(writer)
+        self._used_at[writer] = self.record.now()
         ends, self._unheard = self._unheard, []
-        for call in ends:
-            writer.write(frame(RELEASE, call, {CAUSE: b"\x10"}))
+        for call, cause in ends:
+            self.record.write(self.name, "release on a new connection", session=call.hex(), cause=cause)
+            writer.write(frame(RELEASE, call, {CAUSE: bytes((cause,))}))
         try:
             while True:
-                self._handle(writer, *await read_frame(reader))
+                message = await read_frame(reader)
+                self._used_at[writer] = self.record.now()
+                if writer not in self._useless:
+                    self._handle(writer, *message)
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
-            self._writers.remove(writer)
+            if writer in self._writers:
+                self._writers.remove(writer)
+            self._useless.discard(writer)
+            del self._used_at[writer]
             for call in [each for each, owner in self._open.items() if owner is writer]:
                 del self._open[call]
                 self.record.write(self.name, "given up with its connection", session=call.hex())
@@ -227,34 +253,47 @@
             self._open[call] = writer
             loop.call_later(self.answer_delay, self._answer, writer, call, params.get(DESCRIPTION, b""))
         elif kind == RELEASE:
-            if self._open.pop(call, None) is not None or self.standing.pop(call, None) is not None:
-                self.record.write(self.name, "released by the gateway", session=call.hex())
-                self._write(writer, frame(RELEASE_HEARD, call))
+            self._write(writer, frame(RELEASE_HEARD, call))
+            if self._open.pop(call, None) is not None:
+                self.record.write(self.name, "set-up given up by the gateway", session=call.hex())
+            elif call in self.standing:
+                self.record.write(self.name, "session cut by the gateway", session=call.hex())
+                self._release(call, CANCELLED)
 
     def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
         if not writer.transport.is_closing():
+            self._used_at[writer] = self.record.now()
             writer.write(data)
 
     def _answer(self, writer: asyncio.StreamWriter, call: bytes, description: bytes) -> None:
         if self._open.pop(call, None) is None:
             return
         self.standing[call] = writer
+        asyncio.get_running_loop().call_later(self.life, self._end, call)
+        if random.random() < self.lost_answers:
+            self.record.write(self.name, "runs, and its answer never comes", session=call.hex())
+            self._useless.add(writer)
+            self._writers.remove(writer)
+            return
         self.record.write(self.name, "answered", session=call.hex())
         self._write(
             writer, frame(ANSWER, call, {DESCRIPTION: b"at " + self.name.encode() + b" " + description})
         )
-        asyncio.get_running_loop().call_later(self.life, self._end, call)
 
     def _end(self, call: bytes) -> None:
-        writer = self.standing.pop(call, None)
-        if writer is None:
-            return
-        if writer.transport.is_closing():
-            writer = self._writers[0] if self._writers else None
-        self.record.write(self.name, "session over", session=call.hex())
-        self._unheard.append(call)
+        if call in self.standing:
+            self.ends[call] = self.record.now()
+            self.record.write(self.name, "session over", session=call.hex())
+            self._release(call, PLAYED_TO_ITS_END)
+
+    def _release(self, call: bytes, cause: int) -> None:
+        """Send a release on the connection of the set-up or any open one, and on the next that is opened."""
+        writer = self.standing.pop(call)
+        if writer not in self._writers:
+            writer = self._writers[-1] if self._writers else None
+        self._unheard.append((call, cause))
         if writer is not None:
-            self._write(writer, frame(RELEASE, call, {CAUSE: b"\x10"}))
+            self._write(writer, frame(RELEASE, call, {CAUSE: bytes((cause,))}))
 
 
 class Request:
@@ -298,12 +337,12 @@
         finally:
             writer.close()
 
-    async def wait_ready(self, limit: float = 30.0) -> float:
-        """Wait until a test is passed and return the time that it took. Raises TimeoutError."""
+    async def wait_ready(self, gateway: Gateway, limit: float = 30.0) -> float:
+        """Wait until a test is passed and return the time that it took. Raises RuntimeError."""
         begin = self.record.now()
         while not await self.test():
-            if self.record.now() - begin > limit:
-                raise TimeoutError("the gateway is not ready in time")
+            if gateway.has_ended() or self.record.now() - begin > limit:
+                raise RuntimeError("the gateway has ended or is not ready in time")
             await asyncio.sleep(0.05)
         self.record.write("platform", "gateway ready")
         return self.record.now() - begin
@@ -321,7 +360,7 @@
         self.viewers, self.reader, self.writer = viewers, reader, writer
         self.open: set[bytes] = set()
         self.sessions: set[bytes] = set()
-        self.is_closed = False
+        self.is_closed = self.has_answered = False
         self.task = asyncio.ensure_future(self._read())
 
     def set_up(self, service: str, budget: float, title: int = 7, home: int = 0, copies: int = 4) -> Request:
@@ -367,6 +406,7 @@
             self.viewers.record.write("viewer", "connection ended without an answer", session=call.hex())
 
     def _handle(self, request: Request, kind: int, params: dict[int, bytes]) -> None:
+        self.has_answered = True
         now, call = self.viewers.record.now(), request.call
         cause = params.get(CAUSE, b"\0")[0]
         if request.result == "served" and kind == RELEASE:
@@ -386,9 +426,8 @@
         self.viewers.record.write("viewer", request.result, session=call.hex(), cause=cause, took=took)
 
     def close(self) -> None:
-        """Close the connection."""
-        self.writer.close()
-        self.task.cancel()
+        """Finish the connection; what the gateway has sent on it until it sees that is still read."""
+        self.writer.write_eof()
 
 
 SETTINGS = {
@@ -447,7 +486,7 @@
     ) -> None:
         self.record, self.change_log, self.sockets, self.name = record, change_log, sockets, f"n{number}"
         self.settings = settings | {"me": number}
-        self.address, self.port = "127.0.0.1", free_port()
+        self.address, self.port = ADDRESS, free_port()
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = Path(self._folder.name)
         self.config_path, self.log_path = self.folder / "config.json", self.folder / "log"
