--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,7 +20,7 @@
 RESET_EVERY, QUIET = 0.5, 0.3
 # connections of viewers, and seconds after which the oldest without an open set-up is replaced by a new one
 CONNECTIONS, REPLACE_EVERY = 4, 1.5
-SEND_UNTIL = 60.0
+SEND_UNTIL = 75.0
 # seconds after its end until which a session has to be released, if no release could be sent, and the slack
 RELEASE_WITHIN, SLACK = 8.0, 0.05
 
@@ -78,15 +78,21 @@
     await asyncio.sleep(RELEASE_WITHIN + SLACK + 0.5)
     if gateway.has_ended():
         return ["the gateway has crashed"]
-    ends = {call: (host.name, at) for host in hosts for call, at in host.ends.items()}
+    by_name = {host.name: host for host in hosts}
     breaches = []
     for request in viewers.requests.values():
-        name, ended_at = ends.get(request.call, ("", 0.0))
-        if request.result != "served" or not name or ended_at > case.record.now() - RELEASE_WITHIN - SLACK:
+        if request.result != "served":
+            continue
+        # the description begins with "at" and the name of the host that made it
+        host = by_name[request.description.split()[1].decode()]
+        ended_at = host.ends.get(request.call)
+        if ended_at is None or ended_at > case.record.now() - RELEASE_WITHIN - SLACK:
             continue
         if request.released_at is None or request.released_at - ended_at > RELEASE_WITHIN + SLACK:
             at = "never" if request.released_at is None else f"{request.released_at:.3f}"
-            breaches.append(f"session {request.call.hex()} over at {name} at {ended_at:.3f}, released: {at}")
+            breaches.append(
+                f"session {request.call.hex()} over at {host.name} at {ended_at:.3f}, released: {at}"
+            )
     return breaches
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -16,9 +16,9 @@
 SLOW_ANSWER = 2.5
 # when the drain is put into the change log, and when the case ends
 DRAIN_AT, END_AT = 8.0, 30.0
-# seconds: the pages' longest time in which a log that is not heard counts as told, the grace of the site for
-# drains, and the slack of the sockets
-TOLD_AFTER, GRACE, SLACK = 4.0, 1.0, 0.05
+# seconds: the longest time after which a change counts as told to a gateway that gave a call up, the grace of
+# the site for drains, and the slack of the sockets
+TOLD_AFTER, GRACE, SLACK = 6.0, 1.0, 0.05
 
 
 async def play(case: Case) -> list[str]:
