The log tells of session ends that cannot be sent to their viewer

Change: `session end dropped` with the call and why, where no connection is known and where the 8 s for the next one have passed; queued ends are a typed record in place of a tuple.

--- a/mintmast/signalling/viewers.py
+++ b/mintmast/signalling/viewers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 from typing import Protocol
 
 from mintmast.loop import Handler, Loop, StreamLimits, Timer
@@ -40,6 +41,16 @@
         """Return the readiness to accept set-ups, as reported to health checks."""
 
 
+@dataclass(slots=True, frozen=True)
+class _PendingNotice:
+    """A session's end that waits for a connection from `peer`."""
+
+    expires_at: int
+    peer: str
+    call_id: bytes
+    frame: bytes
+
+
 class Viewers:
     """All connections from viewers, with bounds on their number and on the bytes of set-ups in progress."""
 
@@ -57,7 +68,7 @@
         self.connections: dict[int, ViewerConnection] = {}
         self._last_number = 0
         self._session_peers: dict[bytes, str] = {}  # peer address of each session whose connection was closed
-        self._pending_notices: deque[tuple[int, str, bytes]] = deque(maxlen=MAX_PENDING_NOTICES)
+        self._pending_notices: deque[_PendingNotice] = deque(maxlen=MAX_PENDING_NOTICES)
         # connections with set-ups that are not yet passed to the controller
         self._submit_queue: deque[ViewerConnection] = deque()
         self._submit_timer: Timer | None = None
@@ -161,6 +172,8 @@
             peer = connection.peer
         if peer is not None:
             self._send_elsewhere(peer, call_id, frame)
+        else:
+            self.log("session end dropped", call=call_id.hex(), why="its viewer's connection is unknown")
 
     def _send_elsewhere(self, peer: str, call_id: bytes, frame: bytes) -> None:
         others = [
@@ -169,7 +182,8 @@
         if others:
             max(others, key=lambda each: each.last_received_at).send_tracked(call_id, frame, True)
         else:
-            self._pending_notices.append((self.loop.now() + PENDING_NOTICE_TTL_US, peer, frame))
+            expires_at = self.loop.now() + PENDING_NOTICE_TTL_US
+            self._pending_notices.append(_PendingNotice(expires_at, peer, call_id, frame))
 
     def handle_closed(self, connection: ViewerConnection, undelivered: list[UnconfirmedMessage]) -> None:
         """Remove a connection, and keep the peer address of the sessions that were answered on it.
@@ -231,12 +245,15 @@
 
     def send_pending_notices(self, connection: ViewerConnection) -> None:
         """Send the messages that were queued for a connection from this peer's address."""
-        now, remaining = self.loop.now(), []
-        for expires_at, peer, frame in self._pending_notices:
-            if peer == connection.peer and now < expires_at:
-                connection.write(frame)
-            elif now < expires_at:
-                remaining.append((expires_at, peer, frame))
+        now = self.loop.now()
+        remaining = []
+        for notice in self._pending_notices:
+            if now >= notice.expires_at:
+                self.log("session end dropped", call=notice.call_id.hex(), why="no connection of its viewer")
+            elif notice.peer == connection.peer:
+                connection.write(notice.frame)
+            else:
+                remaining.append(notice)
         self._pending_notices = deque(remaining, MAX_PENDING_NOTICES)
 
     def _check_connections(self) -> None:
