A release of an earlier attempt's host no longer ends a session that plays elsewhere

Cause: `Node.handle_release` looked a call up by its reference alone. The first host, whose answer was lost, confirms the cancelled attempt by a release with cause 31 and repeats it on its next connection. The gateway took it for the session's own and forgot which viewer to tell; once the connection of the answer had closed, the end was dropped. The record of ends before a handover had the same gap: a session handed over was released at its host without a word to its viewer if another host had released the same call before. Change: `Calls` tells to forget a session's viewer (`ForgetSession`) only where the host is the one at which the session plays. Ends before a handover are kept by call and host in `decisions/calls/early_ends.py`, until the window for handovers closes; before, they were cleared 10 s after the first of them, also inside the window. A release for a call that is at another host is logged as `release ignored`. Related paths read: answers, ends of attempts, notes and deaths of hosts were compared with the host already; `mintmast serve` looks ended sessions up by host.

--- a/mintmast/decisions/calls/calls.py
+++ b/mintmast/decisions/calls/calls.py
@@ -187,6 +187,14 @@
     played_to_end: bool
 
 
+@dataclass(slots=True, frozen=True)
+class ForgetSession:
+    """Forget the session's viewer without a message: the viewer ended the session."""
+
+    call_id: bytes
+    viewer: int
+
+
 @dataclass(slots=True, frozen=True)
 class MoveViewer:
     """Ask the viewer to move: the session ends here and the viewer sets it up again."""
@@ -219,6 +227,7 @@
     | RefuseRequest
     | FailRequest
     | ReleaseToViewer
+    | ForgetSession
     | MoveViewer
     | ScheduleTimer
     | LogEvent
@@ -442,8 +451,9 @@
                 commands.append(AnswerRequest(call.id, call.viewer, observation.description))
             elif message is OutgoingMessage.RELEASE_TO_HOST:
                 commands.append(ReleaseToHost(call.id, call.host))
-            elif observation.outcome is not Outcome.CANCELLED:
-                # a viewer that ended its session gets no release
+            elif observation.outcome is Outcome.CANCELLED:
+                commands.append(ForgetSession(call.id, call.viewer))
+            else:
                 commands.append(ReleaseToViewer(call.id, call.viewer, observation.outcome is Outcome.SERVED))
         event = self._make_event(now, call, transition.controller_event, observation)
         call.state = transition.next_state or call.state
--- a/mintmast/signalling/node.py
+++ b/mintmast/signalling/node.py
@@ -18,6 +18,7 @@
 from mintmast.decide import Controller
 from mintmast.decisions.calls import calls as cmd
 from mintmast.decisions.calls.calls import Calls, CallState
+from mintmast.decisions.calls.early_ends import HANDOVER_WINDOW_US, EarlyEnds
 from mintmast.decisions.calls.shutdown import ShutdownPlan
 from mintmast.decisions.outcomes import Evidence
 from mintmast.loop import Loop
@@ -54,6 +55,10 @@
     Cause.NORMAL_CLEARING: api.Outcome.SERVED,
     Cause.NORMAL_UNSPECIFIED: api.Outcome.CANCELLED,
 }
+_CAUSE_BY_OUTCOME = {
+    api.Outcome.SERVED: Cause.NORMAL_CLEARING,
+    api.Outcome.RESET: Cause.TEMPORARY_FAILURE,
+}
 # µs until a reload is retried that lacked a file descriptor
 RELOAD_RETRY_US = 100_000
 # share of the file descriptors for viewers: a third for real ones, the rest for peers with idle connections;
@@ -61,11 +66,6 @@
 VIEWER_SOCKET_SHARE, RESERVED_SOCKETS = 0.5, 24
 # share of the memory limit for set-ups in progress: the program itself takes 11 MB, the smallest limit is 32
 SET_UP_MEMORY_SHARE = 0.25
-# µs after the first passed health check in which playing sessions may be handed over; the platform hands over
-# those of a restart at once
-HANDOVER_WINDOW_US = 10_000_000
-# session ends kept in that time for sessions that were not handed over yet
-MAX_EARLY_ENDS = 4096
 # log events of a start and a shutdown; the limit on lines must not drop them
 _LIFECYCLE_EVENTS = frozenset({"serving", "stopping", "draining", "closing", "stopped"})
 
@@ -82,8 +82,7 @@
         # offset from the loop's clock to Unix time in µs, read once so that all conversions agree
         self._unix_offset = int(loop.wall() * 1_000_000) - loop.now()
         self._listed_hosts: dict[bytes, api.ListEntry] = {}
-        self._handover_until: int | None = None  # None until a health check has passed
-        self._early_ends: dict[bytes, Cause] = {}  # sessions that ended before a possible handover, and how
+        self._early_ends = EarlyEnds()
         self._shutdown: Shutdown | None = None
         self.on_stopped: Callable[[], None] = lambda: None
         viewer_sockets = int(config.limits.sockets * VIEWER_SOCKET_SHARE)
@@ -193,18 +192,15 @@
     def handle_set_up(self, viewer: int, parsed: ParsedSetUp, received_at: int) -> None:
         """Process a set-up or a session's handover that arrived at `received_at`."""
         now = self.loop.now()
+        call_id = parsed.request.call_id
         if not parsed.playing_host:
             self._handle_request(viewer, parsed.request, received_at)
-        elif parsed.request.call_id in self._early_ends:
-            self._handle_late_handover(viewer, parsed)
-        elif parsed.playing_host in self._listed_hosts and now <= (self._handover_until or now):
+        elif (outcome := self._early_ends.find(call_id, parsed.playing_host)) is not None:
+            self._handle_late_handover(viewer, parsed, outcome)
+        elif parsed.playing_host in self._listed_hosts and self._early_ends.may_hand_over(now):
             self._execute(self.calls.adopt_session(now, parsed.request, viewer, parsed.playing_host))
         else:
-            self.viewers.end_session(
-                viewer,
-                parsed.request.call_id,
-                encode_release(parsed.request.call_id, Cause.TEMPORARY_FAILURE),
-            )
+            self.viewers.end_session(viewer, call_id, encode_release(call_id, Cause.TEMPORARY_FAILURE))
 
     def _handle_request(self, viewer: int, request: cmd.ViewerRequest, received_at: int) -> None:
         if self._shutdown is not None:
@@ -217,34 +213,20 @@
             request = replace(request, budget=budget)
         self._execute(self.calls.handle_request(self.loop.now(), request, viewer, received_at))
 
-    def _handle_late_handover(self, viewer: int, parsed: ParsedSetUp) -> None:
+    def _handle_late_handover(self, viewer: int, parsed: ParsedSetUp, outcome: api.Outcome) -> None:
         """Reject the handover of a session that its host or its viewer has already ended."""
         call_id = parsed.request.call_id
-        cause = self._early_ends[call_id]
-        if cause is Cause.NORMAL_UNSPECIFIED:
+        if outcome is api.Outcome.CANCELLED:
             self.viewers.forget_session(viewer, call_id)
             self.hosts.release_session(parsed.playing_host, call_id)
         else:
-            self.viewers.end_session(viewer, call_id, encode_release(call_id, cause))
-
-    def _record_early_end(self, call_id: bytes, cause: Cause) -> None:
-        """Keep the end of a session that may be handed over later; NORMAL_UNSPECIFIED if its viewer ended it.
-
-        Hosts report ends on any connection, so the end of a session can arrive before its handover is read,
-        and the session would then count as playing for ever. This also covers a handover that is repeated
-        after the session's end.
-        """
-        now = self.loop.now()
-        if now <= (self._handover_until or now) and len(self._early_ends) < MAX_EARLY_ENDS:
-            if not self._early_ends:
-                self.loop.call_at(now + HANDOVER_WINDOW_US, self._early_ends.clear)
-            self._early_ends[call_id] = cause
+            self.viewers.end_session(viewer, call_id, encode_release(call_id, _CAUSE_BY_OUTCOME[outcome]))
 
     def handle_viewer_left(self, call_id: bytes) -> None:
         """Cancel the set-up or end the session, as its viewer no longer waits."""
         known = self.calls.by_id.get(call_id)
         if known is None or known.state is CallState.ESTABLISHED:
-            self._record_early_end(call_id, Cause.NORMAL_UNSPECIFIED)
+            self._early_ends.record_viewer_end(self.loop.now(), call_id)
         if known is None:
             return
         now = self.loop.now()
@@ -265,8 +247,10 @@
     def is_ready(self) -> bool:
         """Return the readiness to accept set-ups. The first ready reply opens the handover window."""
         ready = self._shutdown is None and bool(self._listed_hosts)
-        if ready and self._handover_until is None:
-            self._handover_until = self.loop.now() + HANDOVER_WINDOW_US
+        if ready and self._early_ends.handover_until is None:
+            now = self.loop.now()
+            self._early_ends.open_window(now)
+            self.loop.call_at(now + HANDOVER_WINDOW_US, self._early_ends.clear)
         return ready
 
     # Callbacks of hosts
@@ -288,17 +272,13 @@
 
     def handle_release(self, host: bytes, call_id: bytes, cause: int, load: str) -> None:
         """Process a host's release of a session."""
-        outcome = _OUTCOME_BY_CAUSE.get(cause, api.Outcome.RESET)
+        now, outcome = self.loop.now(), _OUTCOME_BY_CAUSE.get(cause, api.Outcome.RESET)
         known = self.calls.by_id.get(call_id)
-        if known is None or known.state is CallState.ESTABLISHED:
-            self._record_early_end(
-                call_id, Cause(cause) if cause in _OUTCOME_BY_CAUSE else Cause.TEMPORARY_FAILURE
-            )
-        if known is not None and outcome is api.Outcome.CANCELLED:
-            self.viewers.forget_session(known.viewer, call_id)
-        self._execute(
-            self.calls.handle_session_end(self.loop.now(), call_id, host, outcome, self._parse_load(load))
-        )
+        if known is None or (known.state is CallState.ESTABLISHED and known.host == host):
+            self._early_ends.record_host_end(now, call_id, host, outcome)
+        elif known.host != host:
+            self.log("release ignored", call=call_id.hex(), host=host.decode(), now_at=known.host.decode())
+        self._execute(self.calls.handle_session_end(now, call_id, host, outcome, self._parse_load(load)))
 
     def handle_note(self, host: bytes, call_id: bytes, name: str, text: str) -> None:
         """Process a host's note about a session; ignores an unknown name or a malformed value."""
@@ -393,6 +373,7 @@
     cmd.RefuseRequest: Node._refuse_request,
     cmd.FailRequest: Node._fail_request,
     cmd.ReleaseToViewer: Node._release_to_viewer,
+    cmd.ForgetSession: lambda node, c: node.viewers.forget_session(c.viewer, c.call_id),
     cmd.MoveViewer: lambda node, c: node.viewers.end_session(
         c.viewer, c.call_id, encode(MessageKind.MOVE, c.call_id)
     ),
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -65,6 +65,11 @@
                     self.answered[call] = "no"
                 case c.ReleaseToViewer(call):
                     assert self.answered[call] == "plays"
+                    assert call not in self.playing, "released while it plays"
+                    self.answered[call] = "over"
+                case c.ForgetSession(call):
+                    assert self.answered[call] == "plays"
+                    assert call not in self.playing, "forgotten while it plays"
                     self.answered[call] = "over"
 
     def step(self, kind, pick):
@@ -131,6 +136,7 @@
                 self.apply(self.calls.handle_attempt_end(self.now, call, host, Evidence.FULL))
         for call, host in list(self.playing.items()):
             assert call in self.calls.by_id, "session still plays at its host without a call"
+            del self.playing[call]
             self.apply(self.calls.handle_session_end(self.now, call, host, Outcome.SERVED))
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,6 +11,7 @@
     Platform,
     host_entry,
     list_event,
+    play,
     set_up,
     silent,
 )
@@ -182,6 +183,34 @@
     assert host.releases == [call] and not platform.node.hosts.pools[b"id-a"].pending_releases
 
 
+def test_a_session_end_reaches_its_viewer_after_an_earlier_host_repeated_its_release():
+    """Guards against a release of a host that lost the session being taken for the session's own.
+
+    The first host runs the set-up and loses its answer. The session plays at the second, and the first host
+    confirms the cancelled attempt by a release, again and again.
+    """
+    platform = Platform("a", "b", script=silent)
+    own, other = platform.viewer(), platform.viewer()
+    platform.send_set_up(other)  # so that the gateway knows this connection as a viewer's
+    call = platform.send_set_up(own)
+    platform.run(0.1)
+    first = next(host for host in platform.hosts.values() if call in host.connection_of)
+    second = next(host for host in platform.hosts.values() if host is not first)
+    second.script = play
+    platform.run(0.6)
+    assert one_answer(own, call).kind == MessageKind.ANSWER and call in second.connection_of
+    for _ in range(2):
+        first.send_release(first.open_connections()[-1], call, Cause.NORMAL_UNSPECIFIED)
+        platform.run(0.1)
+    own.stream.close()
+    platform.run(0.1)
+    second.end_session(call)
+    platform.run(0.1)
+    assert [end.cause for end in other.messages_for(call, MessageKind.RELEASE)] == [Cause.NORMAL_CLEARING]
+    ignored = [fields for event, fields in platform.log_lines if event == "release ignored"]
+    assert len(ignored) == 2 and {fields["host"] for fields in ignored} == {f"id-{first.name}"}
+
+
 # Session handover
 
 
@@ -221,6 +250,21 @@
     assert not end.messages_for(b"\2" * 8, MessageKind.RELEASE)
 
 
+@pytest.mark.parametrize("cause", [Cause.NORMAL_UNSPECIFIED, Cause.NORMAL_CLEARING])
+def test_a_handover_is_adopted_after_a_release_of_another_host(cause):
+    """Guards against the release of an earlier attempt's host ending a session that is handed over."""
+    platform = Platform("a", "b")
+    end = hand_over_session(platform)
+    platform.node.handle_release(b"id-b", b"\2" * 8, cause, "")
+    end.stream.write(handover(platform, b"\2" * 8))
+    platform.run(0.1)
+    assert platform.node.calls.by_id[b"\2" * 8].host == b"id-a" and not platform.hosts["a"].releases
+    platform.node.handle_release(b"id-b", b"\2" * 8, cause, "")
+    platform.node.handle_release(b"id-a", b"\2" * 8, Cause.NORMAL_CLEARING, "")
+    platform.run(0.1)
+    assert len(end.messages_for(b"\2" * 8, MessageKind.RELEASE)) == 1
+
+
 def test_a_handover_repeated_after_the_session_end_is_rejected():
     platform = Platform("a")
     end = hand_over_session(platform)
