A call that is given up before it connects frees its descriptor at once

Cause: `HttpClient.call` dropped the stream that `Loop.connect` returns, and `_Connection.abort` could close nothing until the connection came up; the socket of each call that was given up stayed with the selector until the system ended the attempt, some two minutes later. Change: the connection owns its stream from the attempt on, and `abort` closes it at any time. The flag for a late abort goes, as no given-up connection can come up any more. Peers' and registries' calls use the same client; the pool of media hosts has kept its streams before.

--- a/mintmast/http/client.py
+++ b/mintmast/http/client.py
@@ -80,6 +80,11 @@
             timer.cancel()
         self.on_done(result)
 
+    @property
+    def is_connected(self) -> bool:
+        """Return whether the call's connection has come up."""
+        return self.connection is not None and self.connection.is_open
+
     @property
     def was_sent(self) -> bool:
         """Return whether any byte of the call was passed to the network."""
@@ -141,7 +146,7 @@
             call.connection = connection
             connect_by = self.loop.now() + self.limits.connect_time
             call.timers.append(self.loop.call_at(connect_by, self._fail_if_unconnected, call))
-            self.loop.connect(*address, connection)
+            connection.attach(self.loop.connect(*address, connection))
         return call
 
     def close_idle(self, address: Address | None = None) -> None:
@@ -154,7 +159,7 @@
         call.fail(CallFailure.SILENT if call.was_sent else CallFailure.LATE_UNSENT)
 
     def _fail_if_unconnected(self, call: Call) -> None:
-        if call.connection is not None and not call.connection.is_open:
+        if not call.is_connected:
             call.fail(CallFailure.NOT_CONNECTED)
 
     def keep_idle(self, connection: _Connection) -> bool:
@@ -182,7 +187,6 @@
         self.is_open = False
         self._stream: Stream | None = None
         self._sent_before = 0
-        self._is_aborted = False
         self._idle_timer: Timer | None = None
         self._reset()
 
@@ -193,6 +197,10 @@
         self._body_size = self._received_bytes = 0
         self._is_complete = self._keep_alive = False
 
+    def attach(self, stream: Stream) -> None:
+        """Own the stream from the connection attempt on, so that `abort` frees its descriptor at any time."""
+        self._stream = stream
+
     def start_call(self, call: Call) -> None:
         """Send a further call on this connection."""
         if self._idle_timer is not None:
@@ -208,17 +216,14 @@
         return self._stream is not None and self._stream.bytes_sent > self._sent_before
 
     def abort(self) -> None:
-        """Break the connection, now or as soon as it is established."""
-        self._is_aborted = True
+        """Break the connection, or give up the attempt to connect."""
         if self._stream is not None:
             self._stream.abort()
 
     def opened(self, stream: Stream) -> None:
-        self.is_open, self._stream = True, stream
-        if self._is_aborted or self.call is None:
-            stream.abort()
-            return
-        stream.write(self.call.data)
+        self.is_open = True
+        if self.call is not None:
+            stream.write(self.call.data)
 
     def received(self, data: bytes) -> None:
         if self.call is None:  # a peer that sends unsolicited bytes is not trusted
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,5 +1,6 @@
 """Loop, HTTP server and client on real sockets and in memory, with faulty peers."""
 
+import os
 import socket
 
 import pytest
@@ -298,6 +299,33 @@
     assert raw.reason is CloseReason.REFUSED
 
 
+def test_a_call_that_is_given_up_before_it_connects_frees_its_descriptor():
+    """Guards against each call to a peer out of reach holding a descriptor until the system gives up.
+
+    The listener's queue is full, so that further connections do not come up.
+    """
+    loop, results = SelectorLoop(lambda text: pytest.fail(text)), []
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        address = listener.getsockname()
+        queued = [socket.socket() for _ in range(3)]
+        for sock in queued:
+            sock.setblocking(False)
+            sock.connect_ex(address)
+        client = HttpClient(loop, ClientLimits(connect_time=SECOND // 20))
+        before = len(os.listdir("/proc/self/fd"))
+        for _ in range(10):
+            client.call(address, "GET", "/", results.append)
+            client.call(address, "GET", "/", results.append).cancel()
+        loop.run(loop.now() + SECOND // 4)
+        after = len(os.listdir("/proc/self/fd"))
+        for sock in queued:
+            sock.close()
+    assert results.count(CallFailure.NOT_CONNECTED) == results.count(CallFailure.CALLED_OFF_UNSENT) == 10
+    assert after == before
+
+
 def test_a_draining_server_answers_what_was_read_before_it_ends(net):
     exchanges, drained = [], []
     server = HttpServer(net.server, net.host, 0, exchanges.append)
