The plan of hedged calls serves any server: times apart from the logic, one module

Need: a registry that begins its answers late meets the same fault as the change log did, so the plan may not know of the change log alone. Change: `decisions/calls/subscription.py` is `decisions/hedged_calls.py`, with `CallTiming` in place of constants; the change log's times are in `decisions/calls/discovery.py`.

--- a/mintmast/decisions/calls/subscription.py
+++ b/mintmast/decisions/hedged_calls.py
@@ -1,9 +1,9 @@
-"""Decides when the gateway calls the change log, and which of its calls it follows.
+"""Decides when to call a server that may be slow or gone, and which of the open calls to follow.
 
-A call that has brought nothing for a while may have been lost, or the log may be slow to begin its answer.
+A call that has brought nothing for a while may have been lost, or the server may be slow to begin its answer.
 The two look alike, so a further call is made while the earlier ones stay open (a hedged request; Dean and
 Barroso, The tail at scale, 2013): the first call to bring data is followed, and the others are cancelled. To
-cancel a slow call before the next is made would put the gateway at the end of the log's queue each time.
+cancel a slow call before the next is made would put the caller at the end of the server's queue each time.
 
 Free of I/O: the caller passes the time in µs and carries out the commands that are returned.
 """
@@ -12,20 +12,30 @@
 
 from dataclasses import dataclass, field
 
-# µs without data on the calls after which one more is made. The log sends a comment every second, and the
-# platform expects each change to be known to the gateway within 4 s.
-SILENCE_TIMEOUT_US = 2_200_000
-# µs for a connection to come up before one more call is made
-CONNECT_TIMEOUT_US = 250_000
-# µs between calls that fail: exponential backoff, doubled with each call in a row up to the maximum
-RETRY_DELAY_US, MAX_RETRY_DELAY_US = 20_000, 500_000
-# calls open at a time, which bounds the descriptors in use while the log does not answer
+# calls open at a time, which bounds the descriptors in use while the server does not answer
 MAX_OPEN_CALLS = 5
+# doublings of the retry delay that are counted
+MAX_DOUBLINGS = 8
+
+
+@dataclass(slots=True, frozen=True)
+class CallTiming:
+    """Times of calls to one server, in µs.
+
+    One more call is made after `silence_timeout` without data, or when the newest has not connected after
+    `connect_timeout` and the retry delay. The retry delay doubles with each call in a row that brings
+    nothing, from `retry_delay` to `max_retry_delay` (exponential backoff).
+    """
+
+    silence_timeout: int
+    connect_timeout: int
+    retry_delay: int
+    max_retry_delay: int
 
 
 @dataclass(slots=True, frozen=True)
 class StartCall:
-    """Call the change log."""
+    """Call the server."""
 
     number: int
 
@@ -48,22 +58,23 @@
 
 
 @dataclass(slots=True)
-class Subscription:
-    """The open calls to the change log. `next_check_at` is when the caller invokes `handle_timer`."""
+class HedgedCalls:
+    """The open calls to a server. `next_check_at` is when the caller invokes `handle_timer`."""
 
+    timing: CallTiming
     next_check_at: int = 0
     _calls: list[_OpenCall] = field(default_factory=list)  # the oldest first
     _last_number: int = 0
-    _fruitless: int = 0  # calls started since the last event
+    _fruitless: int = 0  # calls started since the last success
 
     def start(self, now: int) -> list[Command]:
         """Cancel all calls and make a new one, for example to another address."""
         self._fruitless = 0
         return [*self._cancel_except(None), *self._call(now)]
 
-    def restart_later(self, now: int) -> list[Command]:
-        """Cancel all calls, and make a new one after the shortest delay."""
-        self.next_check_at = now + RETRY_DELAY_US
+    def restart_at(self, when: int) -> list[Command]:
+        """Cancel all calls, and make a new one at `when`."""
+        self.next_check_at = when
         return self._cancel_except(None)
 
     def handle_connected(self, number: int) -> None:
@@ -75,11 +86,11 @@
     def handle_data(self, now: int, number: int) -> list[Command]:
         """Follow the call that brought data, and cancel the others."""
         self.handle_connected(number)
-        self.next_check_at = now + SILENCE_TIMEOUT_US
+        self.next_check_at = now + self.timing.silence_timeout
         return self._cancel_except(number)
 
-    def handle_event(self) -> None:
-        """Note that an event was received: the next failure is the first in a row."""
+    def handle_success(self) -> None:
+        """Note that what was asked for has come: the next failure is the first in a row."""
         self._fruitless = 0
 
     def handle_end(self, now: int, number: int) -> None:
@@ -112,17 +123,17 @@
     def _answer_by(self, call: _OpenCall) -> int:
         """Return when one more call is due if this one brings nothing."""
         if call.is_connected:
-            return call.started_at + SILENCE_TIMEOUT_US
-        return call.started_at + CONNECT_TIMEOUT_US + self._retry_delay()
+            return call.started_at + self.timing.silence_timeout
+        return call.started_at + self.timing.connect_timeout + self._retry_delay()
 
     def _retry_delay(self) -> int:
-        doublings = min(max(0, self._fruitless - 1), 8)
-        return min(MAX_RETRY_DELAY_US, RETRY_DELAY_US << doublings)
+        doublings = min(max(0, self._fruitless - 1), MAX_DOUBLINGS)
+        return min(self.timing.max_retry_delay, self.timing.retry_delay << doublings)
 
     def _least_useful_call(self) -> _OpenCall:
         """Return the oldest call that did not connect, else the second oldest.
 
-        The oldest one that connected stays open for as long as it takes, as it is first in the log's queue.
+        The oldest one that connected stays open for as long as it takes: it is first in the server's queue.
         """
         unconnected = [call for call in self._calls if not call.is_connected]
         return unconnected[0] if unconnected else self._calls[1]
--- a/mintmast/signalling/changelog.py
+++ b/mintmast/signalling/changelog.py
@@ -1,6 +1,6 @@
 """Client of the platform's change log: service discovery by server-sent events over HTTP.
 
-A new call resumes after the last event received, by `Last-Event-ID`. `Subscription` decides when to call.
+A new call resumes after the last event received, by `Last-Event-ID`. `HedgedCalls` decides when to call.
 """
 
 from __future__ import annotations
@@ -10,13 +10,14 @@
 from http import HTTPStatus
 from typing import Any
 
-from mintmast.decisions.calls import subscription
-from mintmast.decisions.calls.subscription import StartCall, Subscription
+from mintmast.decisions import hedged_calls
+from mintmast.decisions.calls.discovery import CHANGE_LOG_TIMING
+from mintmast.decisions.hedged_calls import HedgedCalls, StartCall
 from mintmast.http.client import Address, Call, CallFailure, ClientLimits, HttpClient, Reply
 from mintmast.http.events import EventReader
 from mintmast.loop import Loop, Timer
 
-# the subscription decides how long a call may take to connect; this bounds it alone
+# the hedged calls decide how long a call may take to connect; this bounds it alone
 CLIENT_LIMITS = ClientLimits(connect_time=30_000_000)
 # bytes of one event: enough for a full list of several thousand hosts
 MAX_EVENT_BYTES = 4 << 20
@@ -48,7 +49,7 @@
         self.loop, self.address, self.seq = loop, address, seq
         self._on_event, self._log = on_event, log
         self._client = HttpClient(loop, CLIENT_LIMITS)
-        self._subscription = Subscription()
+        self._calls = HedgedCalls(CHANGE_LOG_TIMING)
         self._watches: dict[int, _Watch] = {}
         self._highest_version = -1  # the highest list version received
         self._refetched_after: int | None = None  # where a gap was found and requested again
@@ -58,7 +59,7 @@
         """Follow the log at another address, from the same sequence number on."""
         if address != self.address:
             self.address = address
-            self._execute(self._subscription.start(self.loop.now()))
+            self._execute(self._calls.start(self.loop.now()))
 
     def handle_event(self, event: dict[str, Any]) -> None:
         """Process one event, from the log or from the configuration."""
@@ -81,20 +82,20 @@
         self.seq = seq
         self._on_event(event)
 
-    def _execute(self, commands: list[subscription.Command]) -> None:
+    def _execute(self, commands: list[hedged_calls.Command]) -> None:
         for command in commands:
             if isinstance(command, StartCall):
                 self._start_call(command.number)
             else:
                 self._cancel_call(command.number)
         self._timer.cancel()
-        self._timer = self.loop.call_at(self._subscription.next_check_at, self._check)
+        self._timer = self.loop.call_at(self._calls.next_check_at, self._check)
 
     def _check(self) -> None:
         for number, watch in self._watches.items():
             if watch.call is not None and watch.call.is_connected:
-                self._subscription.handle_connected(number)
-        commands = self._subscription.handle_timer(self.loop.now())
+                self._calls.handle_connected(number)
+        commands = self._calls.handle_timer(self.loop.now())
         if commands and self._watches:
             self._log("changelog", state="silent", seq=self.seq, open=len(self._watches))
         self._execute(commands)
@@ -125,7 +126,7 @@
         watch = self._watches.get(number)
         if watch is None or watch.status != HTTPStatus.OK:
             return
-        self._execute(self._subscription.handle_data(self.loop.now(), number))
+        self._execute(self._calls.handle_data(self.loop.now(), number))
         if not watch.reader.feed(data) and number in self._watches:
             self._log("changelog", state="unreadable", seq=self.seq)
             if watch.call is not None:
@@ -134,13 +135,13 @@
     def _receive_event(self, number: int, fields: dict[str, Any]) -> None:
         if number not in self._watches:
             return
-        self._subscription.handle_event()
+        self._calls.handle_success()
         seq = fields.get("seq")
         if isinstance(seq, int) and seq > self.seq + 1 and self._refetched_after != self.seq:
             # events were skipped: request them again once; if they do not come, accept the gap
             self._refetched_after = self.seq
             self._log("changelog", state="gap", seq=self.seq, told=seq)
-            self._execute(self._subscription.restart_later(self.loop.now()))
+            self._execute(self._calls.restart_at(self.loop.now() + CHANGE_LOG_TIMING.retry_delay))
         else:
             self.handle_event(fields)
 
@@ -149,5 +150,5 @@
             return
         reason = reply.value if isinstance(reply, CallFailure) else f"status {reply.status}"
         self._log("changelog", state="ended", why=reason, seq=self.seq)
-        self._subscription.handle_end(self.loop.now(), number)
+        self._calls.handle_end(self.loop.now(), number)
         self._execute([])
--- a/tests/test_subscription.py
+++ b/tests/test_hedged_calls.py
@@ -1,8 +1,9 @@
-"""When the gateway calls the change log, against logs that are slow, hang or cannot be reached."""
+"""Hedged calls to a change log that is slow, hangs or cannot be reached."""
 
 import pytest
 
-from mintmast.decisions.calls.subscription import MAX_OPEN_CALLS, StartCall, Subscription
+from mintmast.decisions.calls.discovery import CHANGE_LOG_TIMING
+from mintmast.decisions.hedged_calls import MAX_OPEN_CALLS, HedgedCalls, StartCall
 
 MS, S = 1_000, 1_000_000
 NEVER = 1_000 * S
@@ -16,9 +17,9 @@
     """
 
     def __init__(self, behaviour):
-        self.behaviour, self.subscription, self.now = behaviour, Subscription(), 0
+        self.behaviour, self.calls, self.now = behaviour, HedgedCalls(CHANGE_LOG_TIMING), 0
         self.open, self.begun, self.heard, self.most_open = {}, [], [], 0
-        self.execute(self.subscription.start(0))
+        self.execute(self.calls.start(0))
 
     def execute(self, commands):
         for command in commands:
@@ -28,7 +29,7 @@
             self.begun.append(self.now)
             delays = self.behaviour(self.now)
             if delays is None:
-                self.subscription.handle_end(self.now, command.number)
+                self.calls.handle_end(self.now, command.number)
             else:
                 self.open[command.number] = [self.now + delay for delay in delays]
         self.most_open = max(self.most_open, len(self.open))
@@ -39,12 +40,12 @@
             self.now += 10 * MS
             for number, (connects_at, data_at) in list(self.open.items()):
                 if connects_at <= self.now:
-                    self.subscription.handle_connected(number)
+                    self.calls.handle_connected(number)
                 if data_at <= self.now and number in self.open:
                     self.heard.append(self.now)
                     self.open[number][1] += S
-                    self.execute(self.subscription.handle_data(self.now, number))
-            self.execute(self.subscription.handle_timer(self.now))
+                    self.execute(self.calls.handle_data(self.now, number))
+            self.execute(self.calls.handle_timer(self.now))
 
     def first_heard(self, after=0):
         return next(at for at in self.heard if at >= after)
@@ -97,6 +98,6 @@
     log.run(5 * S)
     gaps = [later - earlier for earlier, later in zip(log.begun, log.begun[1:], strict=False)]
     assert gaps == sorted(gaps) and gaps[0] <= 30 * MS and max(gaps) <= 510 * MS and len(log.begun) < 20
-    log.subscription.handle_event()
-    log.subscription.handle_end(log.now, 0)
-    assert log.subscription.next_check_at == log.now + 20 * MS
+    log.calls.handle_success()
+    log.calls.handle_end(log.now, 0)
+    assert log.calls.next_check_at == log.now + 20 * MS
