A registry that begins its answers late is heard: polls stay open beside the next ones

Each poll was given up after the poll interval (200 ms by default), or half of it for the connection, and the next one was last in the registry's queue again. Change: polls are hedged calls: one more where none is answered in time, at the pace as before, five open at most; the first answer counts and the others are cancelled. The registry's pages' limits on size stay.

--- a/mintmast/decisions/hosts/registry.py
+++ b/mintmast/decisions/hosts/registry.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from mintmast.decisions.hedged_calls import CallTiming
 from mintmast.interface import ListEntry, ServerState
 
 SECOND = 1_000_000
@@ -74,6 +75,16 @@
     )
 
 
+def poll_timing(poll_interval: int) -> CallTiming:
+    """Return the times of polls: one more poll where none is answered within the interval, in µs."""
+    return CallTiming(
+        silence_timeout=poll_interval,
+        connect_timeout=max(1, poll_interval // 2),
+        retry_delay=poll_interval,
+        max_retry_delay=poll_interval,
+    )
+
+
 @dataclass(slots=True)
 class RegistryReader:
     """Chooses requests and applies replies. `addresses` are tried in turn from the first.
--- a/mintmast/lab/registry.py
+++ b/mintmast/lab/registry.py
@@ -30,6 +30,7 @@
         # Faults
         self.hang = self.cut = self.wrong_hash = self.wrong_types = False
         self.errors = 0  # status for every call, 0 for none
+        self.delay = 0  # µs from a call to the begin of its answer
         self.half = 1.0  # part of its instances that it tells
         self.asked: dict[str, int] = {"full": 0, "delta": 0}
         self.server = HttpServer(loop, host, port, self._handle, ServerLimits(idle_time=60_000_000))
@@ -53,6 +54,12 @@
         self.recent = [*self.recent[-RECENT:], ("DELETED", self.rows.pop(address))]
 
     def _handle(self, exchange: Exchange) -> None:
+        if self.delay:
+            self.loop.call_at(self.loop.now() + self.delay, self._answer, exchange)
+        else:
+            self._answer(exchange)
+
+    def _answer(self, exchange: Exchange) -> None:
         if self.hang:
             return
         if self.errors:
--- a/mintmast/sources/eureka.py
+++ b/mintmast/sources/eureka.py
@@ -9,20 +9,25 @@
 import random
 import zlib
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote, urlsplit
 
 import msgspec
 from lxml import etree
 
-from mintmast.decisions.hosts.registry import Instance, RegistryReader, build_list_entries
-from mintmast.http.client import CallFailure, ClientLimits, HttpClient, Reply
+from mintmast.decisions import hedged_calls
+from mintmast.decisions.hedged_calls import HedgedCalls, StartCall
+from mintmast.decisions.hosts.registry import Instance, RegistryReader, build_list_entries, poll_timing
+from mintmast.http.client import Call, CallFailure, ClientLimits, HttpClient, Reply
 from mintmast.interface import ListEntry
 from mintmast.loop import Loop, Timer
 
 SECOND = 1_000_000
 # bytes of a body, as sent and unpacked: 10,000 instances are some 15 MB of JSON
-MOST_BYTES = 64 << 20
+MAX_BODY_BYTES = 64 << 20
+# the hedged calls decide how long a poll may take to connect; this bounds it alone
+MAX_CONNECT_US = 30_000_000
 
 
 class RegistryError(Exception):
@@ -109,8 +114,22 @@
     return {"apps__hashcode": root.findtext("apps__hashcode"), "application": apps}
 
 
+@dataclass(slots=True)
+class _Poll:
+    """A call to a registry that has not been answered."""
+
+    address: str
+    target: str
+    is_delta: bool
+    call: Call | None = None
+
+
 class EurekaSource:
-    """Polls a registry; `good` hears each changed list, `bad` why a poll was in vain."""
+    """Polls a registry; `good` hears each changed list, `bad` why a poll was in vain.
+
+    A poll that is late stays open beside the next one, as the registry may only be slow to answer; the first
+    to be answered counts.
+    """
 
     def __init__(
         self,
@@ -127,49 +146,80 @@
         self.reader = RegistryReader(addresses, every)
         self._random = random.Random(seed)
         self._good, self._bad, self._say = good, bad, say
-        limits = ClientLimits(connect_time=max(1, every // 2), body_bytes=MOST_BYTES)
+        limits = ClientLimits(connect_time=MAX_CONNECT_US, body_bytes=MAX_BODY_BYTES)
         self._client = HttpClient(loop, limits, "mintmast")
         self._etag: dict[str, str] = {}
+        self._calls = HedgedCalls(poll_timing(every))
+        self._polls: dict[int, _Poll] = {}
+        self._timer: Timer | None = None
 
     def start(self) -> None:
-        """Ask now, and from now on."""
-        self._poll()
+        """Poll now, and from now on."""
+        self._execute(self._calls.start(self.loop.now()))
 
-    def _poll(self) -> None:
-        address, delta = self.reader.next_request()
+    def _execute(self, commands: list[hedged_calls.Command]) -> None:
+        for command in commands:
+            if isinstance(command, StartCall):
+                self._start_poll(command.number)
+            else:
+                self._cancel_poll(command.number)
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self.loop.call_at(self._calls.next_check_at, self._check)
+
+    def _check(self) -> None:
+        for number, poll in self._polls.items():
+            if poll.call is not None and poll.call.is_connected:
+                self._calls.handle_connected(number)
+        commands = self._calls.handle_timer(self.loop.now())
+        if commands and self._polls:  # the newest poll is late, and another node is asked
+            late = self._polls[max(self._polls)]
+            self._record_failure(late, "late")
+        self._execute(commands)
+
+    def _start_poll(self, number: int) -> None:
+        address, is_delta = self.reader.next_request()
         parts = urlsplit(address)
-        target = f"{parts.path.rstrip('/')}/apps{'/delta' if delta else ''}"
+        target = f"{parts.path.rstrip('/')}/apps{'/delta' if is_delta else ''}"
         headers = [("Accept", "application/json, application/xml;q=0.5"), ("Accept-Encoding", "gzip")]
-        if target in self._etag and delta:
+        if target in self._etag and is_delta:
             headers.append(("If-None-Match", self._etag[target]))
-        # a poll that takes longer than its time is in vain: the next one is due
-        until = self.loop.now() + self.reader.poll_interval
+        poll = self._polls[number] = _Poll(address, target, is_delta)
         place = parts.hostname or "", parts.port or 80
-        self._client.call(
-            place,
-            "GET",
-            target,
-            lambda reply: self._answered(address, target, delta, reply),
-            headers,
-            b"",
-            until,
+        poll.call = self._client.call(
+            place, "GET", target, lambda reply: self._handle_reply(number, reply), headers
         )
 
-    def _answered(self, address: str, target: str, delta: bool, reply: Reply | CallFailure) -> None:
-        again = self.reader.next_poll_at(self.loop.now(), self._random.random())
+    def _cancel_poll(self, number: int) -> None:
+        poll = self._polls.pop(number, None)
+        if poll is not None and poll.call is not None:
+            poll.call.cancel()
+
+    def _handle_reply(self, number: int, reply: Reply | CallFailure) -> None:
+        poll = self._polls.pop(number, None)
+        if poll is None:
+            return
+        now = self.loop.now()
+        self._calls.handle_end(now, number)
+        next_poll_at = self.reader.next_poll_at(now, self._random.random())
         try:
             if isinstance(reply, CallFailure):
                 raise RegistryError(reply.value)
-            if reply.status == 304 and delta:
+            if reply.status == 304 and poll.is_delta:
                 self.reader.failures = 0
             elif reply.status != 200:
                 raise RegistryError(f"status {reply.status}")
             else:
-                again = self._take(target, delta, reply) or again
+                next_poll_at = self._take(poll.target, poll.is_delta, reply) or next_poll_at
+            self._calls.handle_success()
+            self._execute(self._calls.restart_at(next_poll_at))
         except RegistryError as error:
-            self.reader.handle_failure()
-            self._bad(f"{address}: {error}")
-        self.loop.call_at(again, self._poll)
+            self._record_failure(poll, str(error))
+            self._execute([])
+
+    def _record_failure(self, poll: _Poll, reason: str) -> None:
+        self.reader.handle_failure()
+        self._bad(f"{poll.address}: {reason}")
 
     def _take(self, target: str, delta: bool, reply: Reply) -> int | None:
         body = reply.body
@@ -194,11 +244,11 @@
 def _unpacked(body: bytes) -> bytes:
     unpacker = zlib.decompressobj(31)
     try:
-        data = unpacker.decompress(body, MOST_BYTES)
+        data = unpacker.decompress(body, MAX_BODY_BYTES)
     except zlib.error as error:
         raise RegistryError(f"not gzip: {error}") from None
     if unpacker.unconsumed_tail:
-        raise RegistryError(f"unpacks to more than {MOST_BYTES} bytes")
+        raise RegistryError(f"unpacks to more than {MAX_BODY_BYTES} bytes")
     return data
 
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -112,6 +112,22 @@
     assert sum(sum(node.asked.values()) for node in registry.nodes) - asked < 10
 
 
+@pytest.mark.parametrize("nodes", [1, 2])
+@pytest.mark.parametrize("seconds", [2.5, 3.9])
+def test_a_registry_that_begins_each_answer_late_is_heard(nodes, seconds):
+    """Guards against giving each poll up before a slow or crowded registry begins to answer it."""
+    registry = Registry(nodes)
+    for node in registry.nodes:
+        node.delay = int(seconds * S)
+    registry.put(1)
+    registry.source.start()
+    registry.run(6)
+    assert registry.cells() == ["10.0.0.1:9000"]
+    registry.put(2, status="OUT_OF_SERVICE")
+    registry.run(2 * seconds + 1)  # a poll may have begun just before the change
+    assert registry.good[-1]["10.0.0.2:9000"].state is ServerState.DRAINING
+
+
 def test_a_delta_on_a_wrong_base_or_with_a_wrong_hash_leads_to_a_full_read():
     reader = RegistryReader(("a",), EVERY)
     reader.apply_full([instance(1), instance(2)])
