sources: parser of Eureka's bodies and the registration are modules of their own

Change: eureka_bodies.py parses bodies into typed records, registration.py keeps the gateway registered, eureka.py polls. Names say what they are (poll_interval, on_list, on_failure, log). No behaviour, log key or message changed.

--- a/mintmast/gateway.py
+++ b/mintmast/gateway.py
@@ -21,9 +21,9 @@
 from mintmast.http.server import HttpServer
 from mintmast.loop import Loop
 from mintmast.peers import MembershipTransport, PeerTransport, parse_address
-from mintmast.sources.eureka import Registration
 from mintmast.sources.fixed import FixedList, SavedList
 from mintmast.sources.merged import MergedList
+from mintmast.sources.registration import Registration
 from mintmast.telemetry.metrics import Metrics, Traces
 
 # µs between renewals of the registration: Eureka's default, a third of the time after which it expires
--- a/mintmast/sources/eureka.py
+++ b/mintmast/sources/eureka.py
@@ -1,117 +1,28 @@
-"""Reads Eureka's registry over HTTP and keeps the gateway registered there (Eureka REST operations).
+"""Source of the server list: polls Eureka's registry over HTTP (Eureka REST operations).
 
-Bodies are JSON or XML; sizes and types are not trusted. A read that cannot be understood changes nothing.
+A reply that cannot be read changes nothing.
 """
 
 from __future__ import annotations
 
-import math
 import random
-import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
-from urllib.parse import quote, urlsplit
-
-import msgspec
-from lxml import etree
+from http import HTTPStatus
+from urllib.parse import urlsplit
 
 from mintmast.decisions import hedged_calls
 from mintmast.decisions.hedged_calls import HedgedCalls, StartCall
-from mintmast.decisions.hosts.registry import Instance, RegistryReader, build_list_entries, poll_timing
+from mintmast.decisions.hosts.registry import RegistryReader, build_list_entries, poll_timing
 from mintmast.http.client import Call, CallFailure, ClientLimits, HttpClient, Reply
 from mintmast.interface import ListEntry
 from mintmast.loop import Loop, Timer
+from mintmast.sources.eureka_bodies import MAX_BODY_BYTES, RegistryError, read_applications, unpack
 
-SECOND = 1_000_000
-# bytes of a body, as sent and unpacked: 10,000 instances are some 15 MB of JSON
-MAX_BODY_BYTES = 64 << 20
 # the hedged calls decide how long a poll may take to connect; this bounds it alone
 MAX_CONNECT_US = 30_000_000
-
-
-class RegistryError(Exception):
-    """What a registry said cannot be understood."""
-
-
-def _many(value: Any) -> list[Any]:
-    """Give a list: the JSON of one element is the element itself in some versions."""
-    return value if isinstance(value, list) else [] if value is None else [value]
-
-
-def _number(value: Any, least: float, most: float) -> float:
-    if isinstance(value, dict):  # {"$": 9000, "@enabled": "true"}
-        value = value.get("$")
-    number = float(value)
-    if not math.isfinite(number) or not least <= number <= most:
-        raise ValueError(f"{number} is not from {least} to {most}")
-    return number
-
-
-def _instance(app: str, raw: dict[str, Any], now: int, wall: float) -> tuple[str, Instance]:
-    meta = raw.get("metadata") or {}
-    lease = raw.get("leaseInfo") or {}
-    up = _number(lease.get("serviceUpTimestamp") or 0, 0, 1e15) / 1000
-    # a registry's clock may be ahead of ours: nothing has started later than now
-    started = min(now, max(1, now - int((wall - up) * 1e6))) if up else 0
-    overridden = str(raw.get("overriddenStatus") or raw.get("overriddenstatus") or "UNKNOWN")
-    status = str(raw["status"]) if overridden == "UNKNOWN" else overridden
-    host = str(raw.get("ipAddr") or raw["hostName"])
-    port = int(_number(raw["port"], 1, 65_535))
-    instance = Instance(
-        app,
-        str(raw.get("instanceId") or f"{host}:{port}"),
-        f"{host}:{port}",
-        status,
-        started,
-        int(_number(meta.get("cell", 0), 0, 65_535)),
-        int(_number(meta.get("zone", 0), 0, 65_535)),
-        int(_number(meta.get("kind", 0), 0, 65_535)),
-        _number(meta.get("weight", 1.0), 1e-3, 1e6),
-    )
-    return str(raw.get("actionType") or "ADDED"), instance
-
-
-def read_applications(
-    body: bytes, xml: bool, now: int, wall: float
-) -> tuple[list[tuple[str, Instance]], str, list[str]]:
-    """Give (action, instance) of each, the hash told, and the faults of instances passed over.
-
-    Raises RegistryError for a body that is not of the kind; a single bad instance costs only itself.
-    """
-    try:
-        top = _from_xml(body) if xml else msgspec.json.decode(body)["applications"]
-        told = str(top.get("apps__hashcode") or "")
-        found, faults = [], []
-        for app in _many(top.get("application")):
-            for raw in _many(app.get("instance")):
-                try:
-                    found.append(_instance(str(app["name"]), raw, now, wall))
-                except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
-                    faults.append(f"instance of {app.get('name')} passed over: {error!r}")
-        return found, told, faults
-    except (msgspec.DecodeError, etree.XMLSyntaxError, KeyError, TypeError, AttributeError) as error:
-        raise RegistryError(f"not a list of applications: {error!r}"[:200]) from None
-    except (RecursionError, ValueError) as error:
-        raise RegistryError(f"not a list of applications: {error!r}"[:200]) from None
-
-
-def _from_xml(body: bytes) -> dict[str, Any]:
-    parser = etree.XMLParser(resolve_entities=False, no_network=True, huge_tree=False, load_dtd=False)
-    root = etree.fromstring(body, parser)
-    if root.tag != "applications":
-        raise ValueError(f"the root is {root.tag}")
-
-    def plain(node: Any) -> Any:
-        if len(node) == 0:
-            return node.text
-        return {child.tag: plain(child) for child in node}
-
-    apps = []
-    for app in root.iterfind("application"):
-        instances = [plain(each) for each in app.iterfind("instance")]
-        apps.append({"name": app.findtext("name"), "instance": instances})
-    return {"apps__hashcode": root.findtext("apps__hashcode"), "application": apps}
+# invalid instances of one reply that are logged
+MAX_LOGGED_FAULTS = 5
 
 
 @dataclass(slots=True)
@@ -125,10 +36,10 @@
 
 
 class EurekaSource:
-    """Polls a registry; `good` hears each changed list, `bad` why a poll was in vain.
+    """Polls a registry at an interval in µs, and passes each changed list to `on_list`.
 
-    A poll that is late stays open beside the next one, as the registry may only be slow to answer; the first
-    to be answered counts.
+    `on_failure` gets the reason why a poll failed. A poll that is late stays open beside the next one, as the
+    registry may only be slow to answer; the first to be answered counts.
     """
 
     def __init__(
@@ -136,25 +47,25 @@
         loop: Loop,
         addresses: tuple[str, ...],
         app: str,
-        every: int,
+        poll_interval: int,
         seed: int,
-        good: Callable[[tuple[ListEntry, ...]], None],
-        bad: Callable[[str], None],
-        say: Callable[..., None],
+        on_list: Callable[[tuple[ListEntry, ...]], None],
+        on_failure: Callable[[str], None],
+        log: Callable[..., None],
     ) -> None:
         self.loop, self.app = loop, app
-        self.reader = RegistryReader(addresses, every)
+        self.reader = RegistryReader(addresses, poll_interval)
         self._random = random.Random(seed)
-        self._good, self._bad, self._say = good, bad, say
+        self._on_list, self._on_failure, self._log = on_list, on_failure, log
         limits = ClientLimits(connect_time=MAX_CONNECT_US, body_bytes=MAX_BODY_BYTES)
         self._client = HttpClient(loop, limits, "mintmast")
         self._etag: dict[str, str] = {}
-        self._calls = HedgedCalls(poll_timing(every))
+        self._calls = HedgedCalls(poll_timing(poll_interval))
         self._polls: dict[int, _Poll] = {}
         self._timer: Timer | None = None
 
     def start(self) -> None:
-        """Poll now, and from now on."""
+        """Poll now, and at the interval from then on."""
         self._execute(self._calls.start(self.loop.now()))
 
     def _execute(self, commands: list[hedged_calls.Command]) -> None:
@@ -185,9 +96,12 @@
         if target in self._etag and is_delta:
             headers.append(("If-None-Match", self._etag[target]))
         poll = self._polls[number] = _Poll(address, target, is_delta)
-        place = parts.hostname or "", parts.port or 80
         poll.call = self._client.call(
-            place, "GET", target, lambda reply: self._handle_reply(number, reply), headers
+            (parts.hostname or "", parts.port or 80),
+            "GET",
+            target,
+            lambda reply: self._handle_reply(number, reply),
+            headers,
         )
 
     def _cancel_poll(self, number: int) -> None:
@@ -205,12 +119,12 @@
         try:
             if isinstance(reply, CallFailure):
                 raise RegistryError(reply.value)
-            if reply.status == 304 and poll.is_delta:
+            if reply.status == HTTPStatus.NOT_MODIFIED and poll.is_delta:
                 self.reader.failures = 0
-            elif reply.status != 200:
+            elif reply.status != HTTPStatus.OK:
                 raise RegistryError(f"status {reply.status}")
             else:
-                next_poll_at = self._take(poll.target, poll.is_delta, reply) or next_poll_at
+                next_poll_at = self._apply_reply(poll, reply) or next_poll_at
             self._calls.handle_success()
             self._execute(self._calls.restart_at(next_poll_at))
         except RegistryError as error:
@@ -219,92 +133,23 @@
 
     def _record_failure(self, poll: _Poll, reason: str) -> None:
         self.reader.handle_failure()
-        self._bad(f"{poll.address}: {reason}")
-
-    def _take(self, target: str, delta: bool, reply: Reply) -> int | None:
-        body = reply.body
-        if reply.headers.get("content-encoding") == "gzip":
-            body = _unpacked(body)
-        xml = "xml" in reply.headers.get("content-type", "")
-        found, told, faults = read_applications(body, xml, self.loop.now(), self.loop.wall())
-        for fault in faults[:5]:
-            self._say("registry_instance", fault=fault)
-        if delta:
-            changed = self.reader.apply_delta(found, told)
-            if changed is None:  # the hash disagrees: all is read at once
+        self._on_failure(f"{poll.address}: {reason}")
+
+    def _apply_reply(self, poll: _Poll, reply: Reply) -> int | None:
+        """Apply a complete reply; return when to poll next (µs), None for the usual interval."""
+        body = unpack(reply.body) if reply.headers.get("content-encoding") == "gzip" else reply.body
+        is_xml = "xml" in reply.headers.get("content-type", "")
+        applications = read_applications(body, is_xml, self.loop.now(), self.loop.wall())
+        for fault in applications.faults[:MAX_LOGGED_FAULTS]:
+            self._log("registry_instance", fault=fault)
+        changes = [(change.action, change.instance) for change in applications.changes]
+        if poll.is_delta:
+            changed = self.reader.apply_delta(changes, applications.hashcode)
+            if changed is None:  # the hash differs: a full read follows at once
                 return self.loop.now()
         else:
-            changed = self.reader.apply_full(instance for _, instance in found)
-        self._etag[target] = reply.headers.get("etag", "")
+            changed = self.reader.apply_full(instance for _, instance in changes)
+        self._etag[poll.target] = reply.headers.get("etag", "")
         if changed:
-            self._good(build_list_entries(self.reader.instances.values(), self.app))
+            self._on_list(build_list_entries(self.reader.instances.values(), self.app))
         return None
-
-
-def _unpacked(body: bytes) -> bytes:
-    unpacker = zlib.decompressobj(31)
-    try:
-        data = unpacker.decompress(body, MAX_BODY_BYTES)
-    except zlib.error as error:
-        raise RegistryError(f"not gzip: {error}") from None
-    if unpacker.unconsumed_tail:
-        raise RegistryError(f"unpacks to more than {MAX_BODY_BYTES} bytes")
-    return data
-
-
-class Registration:
-    """Keeps the gateway registered: register, renew, register again when forgotten, cancel at the end."""
-
-    def __init__(
-        self, loop: Loop, address: str, app: str, name: str, host: str, port: int, every: int
-    ) -> None:
-        self.loop, self.every = loop, every
-        parts = urlsplit(address)
-        self._place = parts.hostname or "", parts.port or 80
-        self._base = f"{parts.path.rstrip('/')}/apps/{quote(app.upper())}"
-        self._name, self._client = name, HttpClient(loop, ClientLimits(connect_time=every))
-        self._known = False
-        self._renewal: Timer | None = None
-        self._body = msgspec.json.encode(
-            {
-                "instance": {
-                    "instanceId": name,
-                    "hostName": host,
-                    "ipAddr": host,
-                    "app": app.upper(),
-                    "status": "UP",
-                    "port": {"$": port, "@enabled": "true"},
-                    "dataCenterInfo": {
-                        "@class": "com.netflix.appinfo.InstanceInfo$DefaultDataCenterInfo",
-                        "name": "MyOwn",
-                    },
-                    "leaseInfo": {"renewalIntervalInSecs": max(1, every // SECOND), "durationInSecs": 90},
-                }
-            }
-        )
-
-    def start(self) -> None:
-        """Register, and renew from now on."""
-        if self._known:
-            self._call("PUT", f"{self._base}/{quote(self._name)}", b"")
-        else:
-            self._call("POST", self._base, self._body)
-        self._renewal = self.loop.call_at(self.loop.now() + self.every, self.start)
-
-    def cancel(self, on_done: Callable[[], None] = lambda: None) -> None:
-        """Cancel the registration and its renewal; `on_done` is called when the call has ended."""
-        if self._renewal is not None:
-            self._renewal.cancel()
-        self._call("DELETE", f"{self._base}/{quote(self._name)}", b"", on_done)
-
-    def _call(
-        self, method: str, target: str, body: bytes, on_done: Callable[[], None] = lambda: None
-    ) -> None:
-        headers = [("Content-Type", "application/json")] if body else []
-        until = self.loop.now() + self.every
-
-        def done(reply: Reply | CallFailure) -> None:
-            self._known = isinstance(reply, Reply) and reply.status in (200, 204)
-            on_done()
-
-        self._client.call(self._place, method, target, done, headers, body, until)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -18,7 +18,9 @@
 from mintmast.lab import drills
 from mintmast.lab.registry import RegistryStandIn
 from mintmast.loop.memory import World
-from mintmast.sources.eureka import EurekaSource, Registration, RegistryError, read_applications
+from mintmast.sources.eureka import EurekaSource
+from mintmast.sources.eureka_bodies import RegistryError, read_applications
+from mintmast.sources.registration import Registration
 
 S = 1_000_000
 EVERY = S // 4
@@ -166,8 +168,8 @@
             "ipAddr": "h", "port": {"$": 1}, "status": "UP", "leaseInfo": {"serviceUpTimestamp": 9e14},
         }}}}
     ).encode()  # fmt: skip
-    found, _, faults = read_applications(body, False, 50 * S, 1.8e9)
-    assert found[0][1].started == 50 * S and not faults
+    found = read_applications(body, False, 50 * S, 1.8e9)
+    assert found.changes[0].instance.started == 50 * S and not found.faults
 
 
 JSON = st.recursive(
