sources: names and docstrings in the field's terms

Change: on_list, on_failure, log, poll and interval in files.py, fixed.py and merged.py, with docstrings in plain English. Settings, log keys, messages and saved files are unchanged.

--- a/mintmast/sources/__init__.py
+++ b/mintmast/sources/__init__.py
@@ -1,1 +1,1 @@
-"""Where the list of servers comes from."""
+"""Sources of the server list: settings, a watched file, a registry."""
--- a/mintmast/sources/files.py
+++ b/mintmast/sources/files.py
@@ -1,9 +1,8 @@
-"""A watched file of servers: read, checked, and taken whole or not at all.
+"""Source of the server list: a watched file, applied as a whole or not at all.
 
-The file is looked at in a fixed pace by its content, so that it does not matter how it was written: renamed
-over, truncated and written, a link turned elsewhere, a directory swapped, removed and put back. A text that
-is no whole JSON document is taken for half written and looked at again; it is told as wrong when it has
-stayed so for a while.
+The file is polled and compared by content, so that it does not matter how it was written: renamed over,
+truncated and rewritten, a symbolic link changed, a directory swapped, removed and restored. A text that is no
+complete JSON document may be half written: it is reported as invalid only after several polls.
 """
 
 from __future__ import annotations
@@ -22,17 +21,17 @@
 from mintmast.interface import ListEntry, ServerState
 from mintmast.loop import Loop
 
-# looks at an unchanged text that is no JSON before it is told as wrong: writers need well under a second
-HALF_WRITTEN = 5
+# polls of an unchanged text that is no JSON before it is reported: writers need well under a second
+POLLS_BEFORE_REPORT = 5
 # bytes; a list of 10,000 servers is 2 MB
-MOST_BYTES = 64 << 20
+MAX_FILE_BYTES = 64 << 20
 
 
 Small = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 
 
 class Server(msgspec.Struct, forbid_unknown_fields=True, gc=False):
-    """A row of the file; the same bounds as the schema's, checked on the way in at a fortieth of the time."""
+    """A row of the file, with the bounds of the schema: decoding checks them in a fortieth of its time."""
 
     address: Annotated[str, msgspec.Meta(pattern=ADDRESS, max_length=4096)]
     cell: Small
@@ -44,24 +43,24 @@
 
 
 class Servers(msgspec.Struct, forbid_unknown_fields=True):
-    """The file."""
+    """The contents of the file."""
 
     servers: Annotated[list[Server], msgspec.Meta(max_length=100_000)]
 
 
-def _rows(data: bytes) -> list[Server]:
+def _decode_rows(data: bytes) -> list[Server]:
     try:
         return msgspec.json.decode(data, type=Servers).servers
     except msgspec.DecodeError as error:
         raw = json.loads(data)  # a ValueError where it is no JSON
-        # the schema tells all errors at once, each with its place
+        # the schema reports all errors at once, each with its place
         errors = [error_line(each) for each in Draft202012Validator(SERVERS).iter_errors(raw)]
         raise ConfigError(sorted(errors) or [str(error)]) from None
 
 
 def read_servers(data: bytes, fleet: dict[str, Any], now: int, wall: float) -> tuple[ListEntry, ...]:
-    """Give the entries of a file's text. Raises ConfigError with all errors, ValueError for no JSON."""
-    rows = _rows(data)
+    """Parse a file's text. Raises ConfigError with all errors, ValueError for no JSON."""
+    rows = _decode_rows(data)
     errors = list(server_faults(((row.address, row.cell, row.kind) for row in rows), fleet))
     if not any(row.state == "ready" for row in rows):
         errors.append(f"servers: none of {len(rows)} is ready")
@@ -82,60 +81,61 @@
 
 
 class WatchedFile:
-    """Looks at a file every `every` µs; `good` hears each new whole version, `bad` why one was not taken."""
+    """Polls a file at an interval in µs; `on_list` gets each valid version, `on_failure` each fault."""
 
     def __init__(
         self,
         loop: Loop,
         path: Path,
-        every: int,
+        interval: int,
         fleet: dict[str, Any],
-        good: Callable[[tuple[ListEntry, ...]], None],
-        bad: Callable[[str], None],
+        on_list: Callable[[tuple[ListEntry, ...]], None],
+        on_failure: Callable[[str], None],
         read: Callable[[Path], bytes] = Path.read_bytes,
     ) -> None:
-        self.loop, self.path, self.every, self.fleet = loop, path, every, fleet
-        self._good, self._bad, self._read = good, bad, read
+        self.loop, self.path, self.interval, self.fleet = loop, path, interval, fleet
+        self._on_list, self._on_failure, self._read = on_list, on_failure, read
         self._digest = b""
-        self._same = 0
-        self._settled = False
+        self._unchanged_polls = 0
+        self._is_settled = False  # the text was applied or reported
 
     def start(self) -> None:
-        """Look now, and from now on."""
-        self._look()
+        """Poll now, and at the interval from then on."""
+        self._poll()
 
-    def _look(self) -> None:
-        self.loop.call_at(self.loop.now() + self.every, self._look)
+    def _poll(self) -> None:
+        self.loop.call_at(self.loop.now() + self.interval, self._poll)
         try:
             data = self._read(self.path)
         except OSError as error:
-            self._once(b"unreadable", f"cannot be read: {error.strerror or error}")
+            self._report_repeated(b"unreadable", f"cannot be read: {error.strerror or error}")
             return
-        if len(data) > MOST_BYTES:
-            self._once(b"large", f"holds {len(data)} bytes; {MOST_BYTES} at most")
+        if len(data) > MAX_FILE_BYTES:
+            self._report_repeated(b"large", f"holds {len(data)} bytes; {MAX_FILE_BYTES} at most")
             return
         digest = hashlib.blake2b(data).digest()
         if digest != self._digest:
-            self._digest, self._same, self._settled = digest, 0, False
-        if self._settled:
+            self._digest, self._unchanged_polls, self._is_settled = digest, 0, False
+        if self._is_settled:
             return
         try:
             entries = read_servers(data, self.fleet, self.loop.now(), self.loop.wall())
         except ConfigError as error:
-            self._settled = True
-            self._bad("; ".join(error.errors[:5]))
+            self._is_settled = True
+            self._on_failure("; ".join(error.errors[:5]))
         except (ValueError, RecursionError) as error:
-            self._same += 1
-            if self._same >= HALF_WRITTEN:
-                self._settled = True
-                self._bad(f"not JSON: {error}")
+            self._unchanged_polls += 1
+            if self._unchanged_polls >= POLLS_BEFORE_REPORT:
+                self._is_settled = True
+                self._on_failure(f"not JSON: {error}")
         else:
-            self._settled = True
-            self._good(entries)
+            self._is_settled = True
+            self._on_list(entries)
 
-    def _once(self, mark: bytes, text: str) -> None:
+    def _report_repeated(self, mark: bytes, text: str) -> None:
         if self._digest != mark:
-            self._digest, self._same = mark, 0
-        self._same += 1
-        if self._same == HALF_WRITTEN:  # between a removal and the new file there is a moment without one
-            self._bad(text)
+            self._digest, self._unchanged_polls = mark, 0
+        self._unchanged_polls += 1
+        # between a removal and the new file there is a moment without one
+        if self._unchanged_polls == POLLS_BEFORE_REPORT:
+            self._on_failure(text)
--- a/mintmast/sources/fixed.py
+++ b/mintmast/sources/fixed.py
@@ -1,4 +1,4 @@
-"""The list from the settings, and the saved copy that survives a restart."""
+"""The server list from the settings, and the saved copy that survives a restart."""
 
 from __future__ import annotations
 
@@ -8,48 +8,49 @@
 
 from mintmast.interface import ListEntry, ListKind, ServerState
 
-Tell = Callable[[ListKind, int, tuple[ListEntry, ...]], None]
+# receives the kind of a list, its version and its entries
+ListListener = Callable[[ListKind, int, tuple[ListEntry, ...]], None]
 
 
 class FixedList:
-    """A list that is told once, and again when asked."""
+    """A list that changes only with the settings."""
 
     def __init__(self, entries: tuple[ListEntry, ...], saved: SavedList | None = None) -> None:
         self.entries, self.saved, self.version = entries, saved, 1
-        self._tell: Tell | None = None
+        self._on_list: ListListener | None = None
 
-    def start(self, tell: Tell) -> None:
-        """Begin: the saved list first, then the one of the settings."""
-        self._tell = tell
+    def start(self, on_list: ListListener) -> None:
+        """Pass on the saved list, then the one from the settings."""
+        self._on_list = on_list
         cached = self.saved.load() if self.saved is not None else None
         if cached:
-            tell(ListKind.CACHED, 0, cached)
+            on_list(ListKind.CACHED, 0, cached)
         self.refresh()
 
     def refresh(self) -> None:
-        """Tell the whole list."""
-        if self._tell is not None:
-            self._tell(ListKind.FULL, self.version, self.entries)
+        """Pass on the whole list again."""
+        if self._on_list is not None:
+            self._on_list(ListKind.FULL, self.version, self.entries)
         if self.saved is not None:
             self.saved.save(self.entries)
 
     def change(self, entries: tuple[ListEntry, ...]) -> None:
-        """Take another list; who is not on it any more is gone."""
+        """Use another list; servers that it lacks are gone."""
         self.entries, self.version = entries, self.version + 1
         self.refresh()
 
     def record_refusal(self, server: bytes, refuses: bool) -> None:
-        """Nothing: the settings are not in doubt."""
+        """Ignore a host's refusal: the settings are authoritative."""
 
 
 class SavedList:
-    """The last list in a file, written whole or not at all. Errors are told, not raised."""
+    """The last list in a file, replaced atomically. Errors are logged, not raised."""
 
-    def __init__(self, path: Path, say: Callable[..., None] = lambda event, **fields: None) -> None:
-        self.path, self.say = path, say
+    def __init__(self, path: Path, log: Callable[..., None] = lambda event, **fields: None) -> None:
+        self.path, self._log = path, log
 
     def load(self) -> tuple[ListEntry, ...] | None:
-        """Give the saved list; None where there is none that can be read."""
+        """Return the saved list, or None if there is none that can be read."""
         try:
             rows = json.loads(self.path.read_text(encoding="utf-8"))
             return tuple(
@@ -59,17 +60,17 @@
         except FileNotFoundError:
             return None
         except (OSError, ValueError, TypeError, IndexError, RecursionError) as error:
-            self.say("saved_list_unreadable", path=str(self.path), error=str(error))
+            self._log("saved_list_unreadable", path=str(self.path), error=str(error))
             return None
 
     def save(self, entries: tuple[ListEntry, ...]) -> None:
-        """Write the list beside the old one, then rename it over."""
+        """Write the list to a new file and rename it over the old one."""
         rows = [
             [e.server.decode(), int(e.state), e.started, e.cell, e.zone, e.kind, e.weight] for e in entries
         ]
-        beside = self.path.with_suffix(".new")
+        new_path = self.path.with_suffix(".new")
         try:
-            beside.write_text(json.dumps(rows), encoding="utf-8")
-            beside.replace(self.path)
+            new_path.write_text(json.dumps(rows), encoding="utf-8")
+            new_path.replace(self.path)
         except OSError as error:
-            self.say("saved_list_unwritten", path=str(self.path), error=str(error))
+            self._log("saved_list_unwritten", path=str(self.path), error=str(error))
--- a/mintmast/sources/merged.py
+++ b/mintmast/sources/merged.py
@@ -1,4 +1,4 @@
-"""The sources of one gateway: versions go to the merger, its changes to the core."""
+"""Merges the sources of one gateway's server list and passes the changes on."""
 
 from __future__ import annotations
 
@@ -12,56 +12,61 @@
 from mintmast.loop import Loop, Timer
 from mintmast.sources.eureka import EurekaSource
 from mintmast.sources.files import WatchedFile
-from mintmast.sources.fixed import SavedList, Tell
+from mintmast.sources.fixed import ListListener, SavedList
 
 
 class MergedList:
-    """A watched file, a registry, or both; the saved copy of the last list for a start without them."""
+    """The list merged from a watched file, a registry or both.
+
+    A gateway that starts while no source can be read uses the saved copy of the last list.
+    """
 
     def __init__(
         self,
         loop: Loop,
-        told: dict[str, Any],
+        settings: dict[str, Any],
         fleet: dict[str, Any],
         seed: int,
         saved: SavedList | None,
-        say: Callable[..., None],
+        log: Callable[..., None],
     ) -> None:
-        self.loop, self.saved, self.say = loop, saved, say
-        names = tuple(name for name in ("file", "registry") if name in told)
+        self.loop, self.saved, self._log = loop, saved, log
+        names = tuple(name for name in ("file", "registry") if name in settings)
         self.merger = Merger(names)
         self.version = 0
-        self._tell: Tell | None = None
+        self._on_list: ListListener | None = None
         self._timer: Timer | None = None
-        every = told["every_ms"] * 1000
+        interval = settings["every_ms"] * 1000
         self._sources: list[WatchedFile | EurekaSource] = []
-        if "file" in told:
-            good, bad = partial(self._good, "file"), partial(self._bad, "file")
-            self._sources.append(WatchedFile(loop, Path(told["file"]), every, fleet, good, bad))
-        if "registry" in told:
-            good, bad = partial(self._good, "registry"), partial(self._bad, "registry")
-            registry = told["registry"]
+        if "file" in settings:
+            on_list, on_failure = partial(self._update, "file"), partial(self._mark_failed, "file")
+            path = Path(settings["file"])
+            self._sources.append(WatchedFile(loop, path, interval, fleet, on_list, on_failure))
+        if "registry" in settings:
+            on_list, on_failure = partial(self._update, "registry"), partial(self._mark_failed, "registry")
+            registry = settings["registry"]
             addresses = tuple(registry["addresses"])
-            self._sources.append(EurekaSource(loop, addresses, registry["app"], every, seed, good, bad, say))
+            app = registry["app"]
+            self._sources.append(EurekaSource(loop, addresses, app, interval, seed, on_list, on_failure, log))
 
-    def start(self, tell: Tell) -> None:
-        """Begin: the saved list first, then the sources."""
-        self._tell = tell
+    def start(self, on_list: ListListener) -> None:
+        """Pass on the saved list, and start the sources."""
+        self._on_list = on_list
         cached = self.saved.load() if self.saved is not None else None
         if cached:
             self.version += 1
             self.merger.merged = {entry.server: entry for entry in cached}
-            tell(ListKind.CACHED, self.version, cached)
+            on_list(ListKind.CACHED, self.version, cached)
         for source in self._sources:
             source.start()
 
     def refresh(self) -> None:
-        """Tell the whole list as it is believed."""
-        if self._tell is not None:
-            self._tell(ListKind.FULL, self.version, tuple(self.merger.merged.values()))
+        """Pass on the whole merged list again."""
+        if self._on_list is not None:
+            self._on_list(ListKind.FULL, self.version, tuple(self.merger.merged.values()))
 
     def state(self) -> dict[str, Any]:
-        """Tell of each source: servers in force, seconds since it was well, what is wrong, what is held."""
+        """Return, by source: servers in use, seconds since its last good read, fault, removals held."""
         now = self.loop.now()
         return {
             name: {
@@ -73,31 +78,31 @@
             for name, source in self.merger.sources.items()
         }
 
-    def _good(self, name: str, entries: tuple[ListEntry, ...]) -> None:
-        self._changed(self.merger.update_source(self.loop.now(), name, entries))
+    def _update(self, name: str, entries: tuple[ListEntry, ...]) -> None:
+        self._handle_changes(self.merger.update_source(self.loop.now(), name, entries))
 
-    def _bad(self, name: str, fault: str) -> None:
+    def _mark_failed(self, name: str, fault: str) -> None:
         if self.merger.sources[name].fault != fault:
-            self.say("list_not_taken", source=name, reason=fault)
-        self._changed(self.merger.mark_failed(self.loop.now(), name, fault))
+            self._log("list_not_taken", source=name, reason=fault)
+        self._handle_changes(self.merger.mark_failed(self.loop.now(), name, fault))
 
     def record_refusal(self, server: bytes, refuses: bool) -> None:
-        """Take a host's own evidence; in a turn of its own, as it comes from the midst of another."""
-        self.loop.call_soon(self._refuses, server, refuses)
+        """Record whether a host refuses connections, after the callback that observed it has returned."""
+        self.loop.call_soon(self._set_refusing, server, refuses)
 
-    def _refuses(self, server: bytes, refuses: bool) -> None:
-        self._changed(self.merger.set_refusing(self.loop.now(), server, refuses))
+    def _set_refusing(self, server: bytes, refuses: bool) -> None:
+        self._handle_changes(self.merger.set_refusing(self.loop.now(), server, refuses))
 
     def _tick(self) -> None:
-        self._changed(self.merger.tick(self.loop.now()))
+        self._handle_changes(self.merger.tick(self.loop.now()))
 
-    def _changed(self, changed: list[ListEntry]) -> None:
+    def _handle_changes(self, changed: list[ListEntry]) -> None:
         for note in self.merger.notes:
-            self.say("list_note", text=note)
-        if changed and self._tell is not None:
+            self._log("list_note", text=note)
+        if changed and self._on_list is not None:
             self.version += 1
-            self.say("list_changed", version=self.version, entries=len(changed))
-            self._tell(ListKind.DELTA, self.version, tuple(changed))
+            self._log("list_changed", version=self.version, entries=len(changed))
+            self._on_list(ListKind.DELTA, self.version, tuple(changed))
             if self.saved is not None:
                 self.saved.save(tuple(self.merger.merged.values()))
         due = self.merger.next_change_at(self.loop.now())
