--- a/mintmast/decisions/calls/early_ends.py
+++ b/mintmast/decisions/calls/early_ends.py
@@ -53,8 +53,8 @@
 
     def find(self, call_id: bytes, host: bytes) -> Outcome | None:
         """Return how the session at `host` ended, CANCELLED if by its viewer, or None if no end is known."""
-        by_viewer = self._outcomes.get((call_id, _ANY_HOST))
-        return by_viewer or self._outcomes.get((call_id, host))
+        by_host = self._outcomes.get((call_id, host))
+        return self._outcomes.get((call_id, _ANY_HOST), by_host)
 
     def clear(self) -> None:
         """Forget all ends."""
