The change log and the registry share one module that carries out hedged calls

Change: `mintmast/hedged_requests.py` sends and cancels as `HedgedCalls` decides; the change log keeps the reader of each answer, the registry its polls. A failed poll is followed by the next at the jittered time again.

--- a/mintmast/decisions/hedged_calls.py
+++ b/mintmast/decisions/hedged_calls.py
@@ -93,10 +93,10 @@
         """Note that what was asked for has come: the next failure is the first in a row."""
         self._fruitless = 0
 
-    def handle_end(self, now: int, number: int) -> None:
-        """Note that a call has ended, and plan the next one."""
+    def handle_end(self, now: int, number: int, retry_at: int | None = None) -> None:
+        """Note that a call has ended, and plan the next one, at `retry_at` or after the retry delay."""
         self._calls = [call for call in self._calls if call.number != number]
-        self.next_check_at = now + self._retry_delay()
+        self.next_check_at = retry_at if retry_at is not None else now + self._retry_delay()
 
     def handle_timer(self, now: int) -> list[Command]:
         """Make one more call if the newest has had its time, and cancel one if too many are open."""
--- a/mintmast/signalling/changelog.py
+++ b/mintmast/signalling/changelog.py
@@ -1,6 +1,6 @@
 """Client of the platform's change log: service discovery by server-sent events over HTTP.
 
-A new call resumes after the last event received, by `Last-Event-ID`. `HedgedCalls` decides when to call.
+A new call resumes after the last event received, by `Last-Event-ID`. `HedgedRequests` sends the calls.
 """
 
 from __future__ import annotations
@@ -10,14 +10,13 @@
 from http import HTTPStatus
 from typing import Any
 
-from mintmast.decisions import hedged_calls
 from mintmast.decisions.calls.discovery import CHANGE_LOG_TIMING
-from mintmast.decisions.hedged_calls import HedgedCalls, StartCall
+from mintmast.hedged_requests import HedgedRequests
 from mintmast.http.client import Address, Call, CallFailure, ClientLimits, HttpClient, Reply
 from mintmast.http.events import EventReader
-from mintmast.loop import Loop, Timer
+from mintmast.loop import Loop
 
-# the hedged calls decide how long a call may take to connect; this bounds it alone
+# the hedged requests decide how long a call may take to connect; this bounds it alone
 CLIENT_LIMITS = ClientLimits(connect_time=30_000_000)
 # bytes of one event: enough for a full list of several thousand hosts
 MAX_EVENT_BYTES = 4 << 20
@@ -25,11 +24,15 @@
 
 @dataclass(slots=True)
 class _Watch:
-    """An open call with the reader of its events."""
+    """The answer to one request: its status, 0 until the headers have come, and the reader of its events."""
 
+    number: int
     reader: EventReader
-    call: Call | None = None
-    status: int = 0  # 0 until the headers have come
+    status: int = 0
+
+    def handle_headers(self, status: int, headers: dict[str, str]) -> None:
+        """Record the status."""
+        self.status = status
 
 
 class ChangeLog:
@@ -49,17 +52,16 @@
         self.loop, self.address, self.seq = loop, address, seq
         self._on_event, self._log = on_event, log
         self._client = HttpClient(loop, CLIENT_LIMITS)
-        self._calls = HedgedCalls(CHANGE_LOG_TIMING)
-        self._watches: dict[int, _Watch] = {}
+        self._requests = HedgedRequests(loop, CHANGE_LOG_TIMING, self._send_request, self._log_late)
         self._highest_version = -1  # the highest list version received
         self._refetched_after: int | None = None  # where a gap was found and requested again
-        self._timer: Timer = loop.call_soon(self._check)
+        self._requests.restart_at(loop.now())
 
     def change_address(self, address: Address) -> None:
         """Follow the log at another address, from the same sequence number on."""
         if address != self.address:
             self.address = address
-            self._execute(self._calls.start(self.loop.now()))
+            self._requests.start()
 
     def handle_event(self, event: dict[str, Any]) -> None:
         """Process one event, from the log or from the configuration."""
@@ -82,73 +84,46 @@
         self.seq = seq
         self._on_event(event)
 
-    def _execute(self, commands: list[hedged_calls.Command]) -> None:
-        for command in commands:
-            if isinstance(command, StartCall):
-                self._start_call(command.number)
-            else:
-                self._cancel_call(command.number)
-        self._timer.cancel()
-        self._timer = self.loop.call_at(self._calls.next_check_at, self._check)
-
-    def _check(self) -> None:
-        for number, watch in self._watches.items():
-            if watch.call is not None and watch.call.is_connected:
-                self._calls.handle_connected(number)
-        commands = self._calls.handle_timer(self.loop.now())
-        if commands and self._watches:
-            self._log("changelog", state="silent", seq=self.seq, open=len(self._watches))
-        self._execute(commands)
-
-    def _start_call(self, number: int) -> None:
+    def _send_request(self, number: int) -> Call:
         reader = EventReader(lambda kind, fields: self._receive_event(number, fields), MAX_EVENT_BYTES)
-        watch = self._watches[number] = _Watch(reader)
-        watch.call = self._client.call(
+        watch = _Watch(number, reader)
+        return self._client.call(
             self.address,
             "GET",
             "/changes",
             lambda reply: self._handle_end(number, reply),
             [("Accept", "text/event-stream"), ("Last-Event-ID", str(self.seq))],
-            on_headers=lambda status, headers: self._handle_headers(number, status),
-            on_chunk=lambda data: self._handle_chunk(number, data),
+            on_headers=watch.handle_headers,
+            on_chunk=lambda data: self._handle_chunk(watch, data),
         )
 
-    def _cancel_call(self, number: int) -> None:
-        watch = self._watches.pop(number, None)
-        if watch is not None and watch.call is not None:
-            watch.call.cancel()
-
-    def _handle_headers(self, number: int, status: int) -> None:
-        if number in self._watches:
-            self._watches[number].status = status
+    def _log_late(self) -> None:
+        self._log("changelog", state="silent", seq=self.seq, open=len(self._requests.open))
 
-    def _handle_chunk(self, number: int, data: bytes) -> None:
-        watch = self._watches.get(number)
-        if watch is None or watch.status != HTTPStatus.OK:
+    def _handle_chunk(self, watch: _Watch, data: bytes) -> None:
+        if watch.number not in self._requests.open or watch.status != HTTPStatus.OK:
             return
-        self._execute(self._calls.handle_data(self.loop.now(), number))
-        if not watch.reader.feed(data) and number in self._watches:
+        self._requests.handle_data(watch.number)
+        is_valid = watch.reader.feed(data)
+        call = self._requests.open.get(watch.number)
+        if call is not None and not is_valid:
             self._log("changelog", state="unreadable", seq=self.seq)
-            if watch.call is not None:
-                watch.call.cancel()
+            call.cancel()
 
     def _receive_event(self, number: int, fields: dict[str, Any]) -> None:
-        if number not in self._watches:
+        if number not in self._requests.open:
             return
-        self._calls.handle_success()
+        self._requests.handle_success()
         seq = fields.get("seq")
         if isinstance(seq, int) and seq > self.seq + 1 and self._refetched_after != self.seq:
             # events were skipped: request them again once; if they do not come, accept the gap
             self._refetched_after = self.seq
             self._log("changelog", state="gap", seq=self.seq, told=seq)
-            self._execute(self._calls.restart_at(self.loop.now() + CHANGE_LOG_TIMING.retry_delay))
+            self._requests.restart_at(self.loop.now() + CHANGE_LOG_TIMING.retry_delay)
         else:
             self.handle_event(fields)
 
     def _handle_end(self, number: int, reply: Reply | CallFailure) -> None:
-        if self._watches.pop(number, None) is None:
-            return
-        reason = reply.value if isinstance(reply, CallFailure) else f"status {reply.status}"
-        self._log("changelog", state="ended", why=reason, seq=self.seq)
-        self._calls.handle_end(self.loop.now(), number)
-        self._execute([])
+        if self._requests.handle_end(number):
+            reason = reply.value if isinstance(reply, CallFailure) else f"status {reply.status}"
+            self._log("changelog", state="ended", why=reason, seq=self.seq)
--- a/mintmast/sources/eureka.py
+++ b/mintmast/sources/eureka.py
@@ -11,15 +11,14 @@
 from http import HTTPStatus
 from urllib.parse import urlsplit
 
-from mintmast.decisions import hedged_calls
-from mintmast.decisions.hedged_calls import HedgedCalls, StartCall
 from mintmast.decisions.hosts.registry import RegistryReader, build_list_entries, poll_timing
+from mintmast.hedged_requests import HedgedRequests
 from mintmast.http.client import Call, CallFailure, ClientLimits, HttpClient, Reply
 from mintmast.interface import ListEntry
-from mintmast.loop import Loop, Timer
+from mintmast.loop import Loop
 from mintmast.sources.eureka_bodies import MAX_BODY_BYTES, RegistryError, read_applications, unpack
 
-# the hedged calls decide how long a poll may take to connect; this bounds it alone
+# the hedged requests decide how long a poll may take to connect; this bounds it alone
 MAX_CONNECT_US = 30_000_000
 # invalid instances of one reply that are logged
 MAX_LOGGED_FAULTS = 5
@@ -27,12 +26,12 @@
 
 @dataclass(slots=True)
 class _Poll:
-    """A call to a registry that has not been answered."""
+    """A request to a registry."""
 
+    number: int
     address: str
     target: str
     is_delta: bool
-    call: Call | None = None
 
 
 class EurekaSource:
@@ -60,62 +59,33 @@
         limits = ClientLimits(connect_time=MAX_CONNECT_US, body_bytes=MAX_BODY_BYTES)
         self._client = HttpClient(loop, limits, "mintmast")
         self._etag: dict[str, str] = {}
-        self._calls = HedgedCalls(poll_timing(poll_interval))
-        self._polls: dict[int, _Poll] = {}
-        self._timer: Timer | None = None
+        timing = poll_timing(poll_interval)
+        self._requests = HedgedRequests(loop, timing, self._send_poll, self._handle_late)
+        self._newest: _Poll | None = None
 
     def start(self) -> None:
         """Poll now, and at the interval from then on."""
-        self._execute(self._calls.start(self.loop.now()))
+        self._requests.start()
 
-    def _execute(self, commands: list[hedged_calls.Command]) -> None:
-        for command in commands:
-            if isinstance(command, StartCall):
-                self._start_poll(command.number)
-            else:
-                self._cancel_poll(command.number)
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer = self.loop.call_at(self._calls.next_check_at, self._check)
-
-    def _check(self) -> None:
-        for number, poll in self._polls.items():
-            if poll.call is not None and poll.call.is_connected:
-                self._calls.handle_connected(number)
-        commands = self._calls.handle_timer(self.loop.now())
-        if commands and self._polls:  # the newest poll is late, and another node is asked
-            late = self._polls[max(self._polls)]
-            self._record_failure(late, "late")
-        self._execute(commands)
-
-    def _start_poll(self, number: int) -> None:
+    def _send_poll(self, number: int) -> Call:
         address, is_delta = self.reader.next_request()
         parts = urlsplit(address)
         target = f"{parts.path.rstrip('/')}/apps{'/delta' if is_delta else ''}"
         headers = [("Accept", "application/json, application/xml;q=0.5"), ("Accept-Encoding", "gzip")]
         if target in self._etag and is_delta:
             headers.append(("If-None-Match", self._etag[target]))
-        poll = self._polls[number] = _Poll(address, target, is_delta)
-        poll.call = self._client.call(
-            (parts.hostname or "", parts.port or 80),
-            "GET",
-            target,
-            lambda reply: self._handle_reply(number, reply),
-            headers,
-        )
-
-    def _cancel_poll(self, number: int) -> None:
-        poll = self._polls.pop(number, None)
-        if poll is not None and poll.call is not None:
-            poll.call.cancel()
-
-    def _handle_reply(self, number: int, reply: Reply | CallFailure) -> None:
-        poll = self._polls.pop(number, None)
-        if poll is None:
+        poll = self._newest = _Poll(number, address, target, is_delta)
+        host = parts.hostname or "", parts.port or 80
+        return self._client.call(host, "GET", target, lambda reply: self._handle_reply(poll, reply), headers)
+
+    def _handle_late(self) -> None:
+        if self._newest is not None:  # another node may be asked next
+            self._record_failure(self._newest, "late")
+
+    def _handle_reply(self, poll: _Poll, reply: Reply | CallFailure) -> None:
+        next_poll_at = self.reader.next_poll_at(self.loop.now(), self._random.random())
+        if not self._requests.handle_end(poll.number, next_poll_at):
             return
-        now = self.loop.now()
-        self._calls.handle_end(now, number)
-        next_poll_at = self.reader.next_poll_at(now, self._random.random())
         try:
             if isinstance(reply, CallFailure):
                 raise RegistryError(reply.value)
@@ -125,11 +95,10 @@
                 raise RegistryError(f"status {reply.status}")
             else:
                 next_poll_at = self._apply_reply(poll, reply) or next_poll_at
-            self._calls.handle_success()
-            self._execute(self._calls.restart_at(next_poll_at))
+            self._requests.handle_success()
+            self._requests.restart_at(next_poll_at)
         except RegistryError as error:
             self._record_failure(poll, str(error))
-            self._execute([])
 
     def _record_failure(self, poll: _Poll, reason: str) -> None:
         self.reader.handle_failure()
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -130,6 +130,18 @@
     assert registry.good[-1]["10.0.0.2:9000"].state is ServerState.DRAINING
 
 
+def test_polls_that_fail_keep_their_jitter():
+    """Guards against gateways that poll a failing registry at the same moments."""
+    registry, times = Registry(1), []
+    node = registry.nodes[0]
+    answer, node.errors = node._answer, 500
+    node._answer = lambda exchange: (times.append(registry.world.time), answer(exchange))
+    registry.source.start()
+    registry.run(5)
+    gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
+    assert len({gap // 5000 for gap in gaps}) > 3 and max(gaps) <= EVERY + 10_000
+
+
 def test_a_delta_on_a_wrong_base_or_with_a_wrong_hash_leads_to_a_full_read():
     reader = RegistryReader(("a",), EVERY)
     reader.apply_full([instance(1), instance(2)])
