A change log that answers late is heard after its open watch fell silent

A gateway whose watch on the change log falls silent, while the log begins each new answer after 9 s or more, never hears of a change again: drained hosts get set-ups for good. Cause: of five open calls HedgedCalls keeps the oldest that connected, as it is first in the log's queue. After a silence the oldest is the silent watch, which waits for nothing, so each further call was cancelled after 8.8 s. Evidence: the new test on the injected clock; with 9 s and 40 s nothing was heard in 60 s, with 3.9 s it was. Change: a call that has brought data is given up before the calls that still wait for their answer. Measured: the test failed before with 9 s and 40 s (16 others passed) and passes now; tests of the change log and of the registry pass (73).

--- a/mintmast/decisions/hedged_calls.py
+++ b/mintmast/decisions/hedged_calls.py
@@ -55,6 +55,7 @@
     number: int
     started_at: int
     is_connected: bool = False
+    has_brought_data: bool = False
 
 
 @dataclass(slots=True)
@@ -85,9 +86,11 @@
 
     def handle_data(self, now: int, number: int) -> list[Command]:
         """Follow the call that brought data, and cancel the others."""
-        self.handle_connected(number)
         self.next_check_at = now + self.timing.silence_timeout
-        return self._cancel_except(number)
+        cancelled = self._cancel_except(number)
+        for call in self._calls:
+            call.is_connected = call.has_brought_data = True
+        return cancelled
 
     def handle_success(self) -> None:
         """Note that what was asked for has come: the next failure is the first in a row."""
@@ -131,12 +134,18 @@
         return min(self.timing.max_retry_delay, self.timing.retry_delay << doublings)
 
     def _least_useful_call(self) -> _OpenCall:
-        """Return the oldest call that did not connect, else the second oldest.
+        """Return the oldest call that did not connect, else the one that fell silent, else the second oldest.
 
-        The oldest one that connected stays open for as long as it takes: it is first in the server's queue.
+        The oldest one that waits for its answer stays open for as long as it takes: it is first in the
+        server's queue. A call that has brought data is no longer in that queue.
         """
-        unconnected = [call for call in self._calls if not call.is_connected]
-        return unconnected[0] if unconnected else self._calls[1]
+        for call in self._calls:
+            if not call.is_connected:
+                return call
+        for call in self._calls:
+            if call.has_brought_data:
+                return call
+        return self._calls[1]
 
     def _cancel_except(self, number: int | None) -> list[Command]:
         cancelled = [call for call in self._calls if call.number != number]
--- a/tests/test_hedged_calls.py
+++ b/tests/test_hedged_calls.py
@@ -92,6 +92,19 @@
     assert list(log.open) == [watch]
 
 
+@pytest.mark.parametrize("delay", [int(3.9 * S), 9 * S, 40 * S])
+def test_a_log_that_answers_late_is_heard_after_the_followed_watch_fell_silent(delay):
+    """Guards against keeping the silent watch in place of the call that has waited longest for its answer."""
+    log = Log(lambda now: (MS, MS) if now == 0 else (MS, delay))
+    log.run(S // 2)
+    (watch,) = log.open
+    log.open[watch][1] = NEVER
+    log.run(60 * S)
+    silent_since = log.heard[0]
+    assert log.first_heard(after=silent_since + 1) <= silent_since + int(2.2 * S) + delay + 20 * MS
+    assert log.most_open <= MAX_OPEN_CALLS and len(log.open) == 1
+
+
 def test_refused_calls_back_off_and_start_anew_after_an_event():
     """Guards against a log that is down being called without pause."""
     log = Log(lambda now: None)
