A soak run of late stand-ins counts where their delay cannot hide a broken rule

Cause: any stall made a whole run void, though late stand-ins only see answers and set-ups too late, which is the stricter side. A late act hides a broken rule only where it excuses the gateway: a late SIGKILL (more time to answer), a host's late return from a drain (a set-up read after it), and a viewer's cancel before it has read what came. A start is timed from before the fork, which is stricter.

--- a/mintmast/lab/soak/gateway.py
+++ b/mintmast/lab/soak/gateway.py
@@ -50,8 +50,8 @@
         environment = os.environ | {"NODE_CONFIG": str(self._config_path), "NODE_NAME": self.front.name}
         with self.log_path.open("ab") as log:
             command = [sys.executable, "-m", "mintmast", "node"]
+            self._start = Start(self.front.name, self.loop.now())
             self._process = subprocess.Popen(command, env=environment, stderr=log, stdout=log)
-        self._start = Start(self.front.name, self.loop.now())
         self.records.starts.append(self._start)
         self._look(self._process)
         self._check_health()
@@ -59,13 +59,20 @@
     def _write_configuration(self) -> None:
         self._config_path.write_text(json.dumps(self._make_document()))
 
-    def send_signal(self, sent: signal.Signals, is_sudden: bool) -> None:
-        """Send a signal to a process that has been ready; SIGKILL only after SIGTERM, unless it is sudden."""
+    def send_signal(self, sent: signal.Signals, due: int, is_sudden: bool) -> None:
+        """Send a signal, due at a time, to a process that has been ready.
+
+        SIGKILL is sent only after SIGTERM, unless it is sudden.
+        """
         start, process = self._start, self._process
-        if process is None or start is None or start.ended_at is not None or start.ready_at is None:
+        if process is None or start is None or start.ready_at is None:
             return
         if sent is signal.SIGKILL and not is_sudden and start.time_of(signal.SIGTERM) is None:
             return
+        if sent is signal.SIGKILL and (start.ended_at is None or start.ended_at > due):
+            self.records.record_excuse(due, self.loop.now())
+        if start.ended_at is not None:
+            return
         if sent is signal.SIGHUP:
             self._write_configuration()
         start.signals.append((self.loop.now(), sent))
--- a/mintmast/lab/soak/records.py
+++ b/mintmast/lab/soak/records.py
@@ -99,6 +99,11 @@
     notices: list[Notice] = field(default_factory=list)
     tracebacks: list[str] = field(default_factory=list)
     longest_stall: int = 0  # of the stand-ins' own loop
+    longest_excuse_delay: int = 0  # by which a SIGKILL or a host's return from a drain came late
+
+    def record_excuse(self, due: int, at: int) -> None:
+        """Record when an act came that excuses a gateway, and when it was due."""
+        self.longest_excuse_delay = max(self.longest_excuse_delay, at - due)
 
     def start_of(self, gateway: str, at: int) -> Start | None:
         """Return the life of the gateway's process at a time."""
