The platform's process is a module of its own; refusals of a shutdown stand once

Change: signalling/process.py holds the process (configuration, signals, log); Viewers.refuse_for_shutdown, Call.attempts; EarlyEnds.open_window returns the end of a window that it opened; Viewers.has_pending_data no longer looks at the open set-ups that the shutdown has looked at already. The tests of what is imported look at the new module, which imports the old one too. Behaviour as before.

--- a/mintmast/__main__.py
+++ b/mintmast/__main__.py
@@ -7,7 +7,7 @@
 def main() -> None:
     """Run the command line; `node` is handled without importing it, which would not fit a small machine."""
     if sys.argv[1:2] == ["node"] and len(sys.argv) <= 3:
-        from mintmast.signalling.node import run
+        from mintmast.signalling.process import run
 
         path = sys.argv[2] if len(sys.argv) == 3 else os.environ.get("NODE_CONFIG", "")
         sys.exit(run(path) if path and not path.startswith("-") else usage())
--- a/mintmast/cli/__init__.py
+++ b/mintmast/cli/__init__.py
@@ -49,7 +49,7 @@
 @click.argument("config", envvar="NODE_CONFIG", type=click.Path())
 def node(config: str) -> None:
     """Run the gateway that speaks the platform's set-up messages, with the configuration in CONFIG."""
-    from mintmast.signalling.node import run
+    from mintmast.signalling.process import run
 
     sys.exit(run(config))
 
--- a/mintmast/decisions/calls/calls.py
+++ b/mintmast/decisions/calls/calls.py
@@ -256,6 +256,11 @@
     attempt_sent_at: int = 0
     established_at: int = 0
 
+    @property
+    def attempts(self) -> int:
+        """Return the number of attempts so far."""
+        return self.attempt + 1
+
 
 @dataclass(slots=True, frozen=True)
 class _Observation:
@@ -342,12 +347,11 @@
         call = self.by_id.get(call_id)
         if call is None or call.state is not CallState.ATTEMPTING:
             return []
-        attempts = call.attempt + 1
         answer: Command
         if may_have_arrived or call.may_have_run:
-            answer = FailRequest(call.id, call.viewer, attempts, Evidence.CALLED_OFF)
+            answer = FailRequest(call.id, call.viewer, call.attempts, Evidence.CALLED_OFF)
         else:
-            answer = RefuseRequest(call.id, call.viewer, 0, attempts, Evidence.CALLED_OFF_UNSENT)
+            answer = RefuseRequest(call.id, call.viewer, 0, call.attempts, Evidence.CALLED_OFF_UNSENT)
         return [answer, *self.handle_viewer_left(now, call_id)]
 
     # Hosts
@@ -528,11 +532,12 @@
             commands.append(SendSetUp(call.id, call.host, call.attempt, call.rung, deadline, call.forwarded))
         elif isinstance(action, api.Refuse):
             self._remove(call)
-            attempts = call.attempt + 1
-            commands.append(RefuseRequest(call.id, call.viewer, action.retry_after, attempts, call.evidence))
+            commands.append(
+                RefuseRequest(call.id, call.viewer, action.retry_after, call.attempts, call.evidence)
+            )
         elif isinstance(action, api.Fail):
             self._remove(call)
-            commands.append(FailRequest(call.id, call.viewer, call.attempt + 1, call.evidence))
+            commands.append(FailRequest(call.id, call.viewer, call.attempts, call.evidence))
         elif isinstance(action, api.Cancel):
             if call.state is CallState.CANCELLING and action.attempt == call.attempt:
                 commands.append(CancelSetUp(call.id, call.host))
--- a/mintmast/decisions/calls/early_ends.py
+++ b/mintmast/decisions/calls/early_ends.py
@@ -34,10 +34,12 @@
         """Return the number of recorded ends."""
         return len(self._outcomes)
 
-    def open_window(self, now: int) -> None:
-        """Open the window for handovers, once."""
-        if self.handover_until is None:
-            self.handover_until = now + HANDOVER_WINDOW_US
+    def open_window(self, now: int) -> int | None:
+        """Open the window for handovers, once; return its end if it was opened now, else None."""
+        if self.handover_until is not None:
+            return None
+        self.handover_until = now + HANDOVER_WINDOW_US
+        return self.handover_until
 
     def may_hand_over(self, now: int) -> bool:
         """Return whether sessions may be handed over now."""
--- a/mintmast/signalling/node.py
+++ b/mintmast/signalling/node.py
@@ -1,12 +1,7 @@
-"""The gateway process for the platform: configuration, wiring, signals. `python -m mintmast node` runs it."""
+"""A gateway for the platform: connects viewers, media hosts, the change log and the calls."""
 
 from __future__ import annotations
 
-import os
-import resource
-import signal
-import sys
-import time
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -18,27 +13,24 @@
 from mintmast.decide import Controller
 from mintmast.decisions.calls import calls as cmd
 from mintmast.decisions.calls.calls import Calls, CallState
-from mintmast.decisions.calls.early_ends import HANDOVER_WINDOW_US, EarlyEnds
+from mintmast.decisions.calls.early_ends import EarlyEnds
 from mintmast.decisions.calls.shutdown import ShutdownPlan
 from mintmast.decisions.outcomes import Evidence
 from mintmast.loop import Loop
-from mintmast.loop.real import SelectorLoop, tune_garbage_collector
 from mintmast.signalling.changelog import ChangeLog
 from mintmast.signalling.configuration import (
     AdapterSettings,
     Config,
-    ConfigError,
     FleetUpdate,
     HostEntry,
     parse_address,
-    read_config,
 )
 from mintmast.signalling.hosts import HostLimits, MediaHosts
 from mintmast.signalling.messages import Cause, MessageKind, Param, encode, encode_release
 from mintmast.signalling.set_up_parser import US_PER_MS, ParsedSetUp, RequestSchema, parse_number
 from mintmast.signalling.shutdown import Shutdown
 from mintmast.signalling.viewers import STREAM_LIMITS, Viewers
-from mintmast.telemetry.lines import MAX_LINES_PER_SECOND, LogFunction, make_log_function
+from mintmast.telemetry.lines import LogFunction
 
 _NOTE_KINDS = {
     "got": api.NoteKind.DELIVERED,
@@ -59,15 +51,11 @@
     api.Outcome.SERVED: Cause.NORMAL_CLEARING,
     api.Outcome.RESET: Cause.TEMPORARY_FAILURE,
 }
-# µs until a reload is retried that lacked a file descriptor
-RELOAD_RETRY_US = 100_000
 # share of the file descriptors for viewers: a third for real ones, the rest for peers with idle connections;
 # and the number reserved for the listener, the selector, the change log and the interpreter
 VIEWER_SOCKET_SHARE, RESERVED_SOCKETS = 0.5, 24
 # share of the memory limit for set-ups in progress: the program itself takes 11 MB, the smallest limit is 32
 SET_UP_MEMORY_SHARE = 0.25
-# log events of a start and a shutdown; the limit on lines must not drop them
-_LIFECYCLE_EVENTS = frozenset({"serving", "stopping", "draining", "closing", "stopped"})
 
 
 class Node:
@@ -101,6 +89,11 @@
         self._apply_known(config)
         self._listener = loop.listen(*parse_address(config.listen), self.viewers.accept, limits=STREAM_LIMITS)
 
+    @property
+    def listed_hosts(self) -> int:
+        """Return the number of hosts in the list."""
+        return len(self._listed_hosts)
+
     # Configuration and signals
 
     def _apply_known(self, config: Config) -> None:
@@ -207,8 +200,7 @@
             target_time = self.settings.classes[request.service].target_time
             budget = self._shutdown.plan.time_for_request(received_at, request.budget, target_time)
             if budget is None:
-                self.log("refused", call=request.call_id.hex(), why="the gateway is shutting down")
-                self.viewers.reject(viewer, request.call_id, Cause.SWITCHING_EQUIPMENT_CONGESTION)
+                self.viewers.refuse_for_shutdown(viewer, request.call_id)
                 return
             request = replace(request, budget=budget)
         self._execute(self.calls.handle_request(self.loop.now(), request, viewer, received_at))
@@ -246,12 +238,12 @@
 
     def is_ready(self) -> bool:
         """Return the readiness to accept set-ups. The first ready reply opens the handover window."""
-        ready = self._shutdown is None and bool(self._listed_hosts)
-        if ready and self._early_ends.handover_until is None:
-            now = self.loop.now()
-            self._early_ends.open_window(now)
-            self.loop.call_at(now + HANDOVER_WINDOW_US, self._early_ends.clear)
-        return ready
+        if self._shutdown is not None or not self._listed_hosts:
+            return False
+        window_end = self._early_ends.open_window(self.loop.now())
+        if window_end is not None:
+            self.loop.call_at(window_end, self._early_ends.clear)
+        return True
 
     # Callbacks of hosts
 
@@ -384,51 +376,3 @@
 
 def _index_of(names: list[str], name: str) -> int:
     return names.index(name) if name in names else len(names)
-
-
-def run(path: str) -> int:
-    """Run until the shutdown after SIGTERM is complete. Return the exit code: 2 if the start fails."""
-    log = make_log_function(
-        sys.stderr,
-        time.time,
-        MAX_LINES_PER_SECOND,
-        always=_LIFECYCLE_EVENTS,
-        gateway=os.environ.get("NODE_NAME", ""),
-    )
-    loop = SelectorLoop(lambda text: log("error", text=text))
-
-    def reload() -> None:
-        try:
-            node.reload(read_config(path))
-        except ConfigError as error:
-            log("reload", refused=str(error))
-            if error.is_retryable:
-                loop.call_at(loop.now() + RELOAD_RETRY_US, reload)
-
-    # installed before the configuration is read, as either signal may arrive meanwhile
-    loop.on_signal(reload, signal.SIGHUP)
-    loop.on_signal(lambda: node.stop(), signal.SIGTERM, signal.SIGINT)
-    try:
-        config = read_config(path)
-        descriptor_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-        if descriptor_limit != resource.RLIM_INFINITY:
-            config.limits.sockets = min(config.limits.sockets, descriptor_limit)
-        node = Node(loop, config, log)
-    except (ConfigError, wire.WireError, msgspec.MsgspecError, OSError) as error:
-        print(f"mintmast: {error}", file=sys.stderr)
-        return 2
-
-    # a stalled process answers late, and no other log line would show afterwards that it stalled, whether the
-    # machine or the process itself was the cause
-    loop.on_stall = lambda duration: log("event loop stalled", ms=duration / US_PER_MS)
-    node.on_stopped = loop.stop
-    tune_garbage_collector()
-    log("serving", hosts=len(node._listed_hosts), seq=node.changelog.seq)
-    loop.run()
-    log(
-        "stopped",
-        longest_turn_ms=loop.longest_turn / US_PER_MS,
-        turns=loop.turns,
-        **node.calls.count_by_state(),
-    )
-    return 0
--- a/mintmast/signalling/shutdown.py
+++ b/mintmast/signalling/shutdown.py
@@ -51,7 +51,9 @@
     def _must_wait(self, now: int) -> bool:
         if now >= self.plan.close_by:
             return False
-        return self._viewers.has_open_set_ups() or (now < self.plan.flush_until and self._viewers.is_busy())
+        if self._viewers.has_open_set_ups():
+            return True
+        return now < self.plan.flush_until and self._viewers.has_pending_data()
 
     def _close_connections(self) -> None:
         """Refuse what was read too late, and close all connections.
--- a/mintmast/signalling/viewerconnection.py
+++ b/mintmast/signalling/viewerconnection.py
@@ -133,9 +133,7 @@
         """Refuse the set-ups that were not submitted yet."""
         for call_id in list(self.queued_set_ups):
             del self.queued_set_ups[call_id]
-            self.close_set_up(call_id)
-            self.viewers.log("refused", call=call_id.hex(), why="the gateway is shutting down")
-            self.write(encode_release(call_id, Cause.SWITCHING_EQUIPMENT_CONGESTION))
+            self.viewers.refuse_for_shutdown(self.number, call_id)
 
     def _handle_message(self, message: Message) -> None:
         kind = message.kind
--- a/mintmast/signalling/viewers.py
+++ b/mintmast/signalling/viewers.py
@@ -159,6 +159,11 @@
         if connection is not None and connection.close_set_up(call_id):
             connection.write(encode_release(call_id, cause, retry_after_ms))
 
+    def refuse_for_shutdown(self, viewer: int, call_id: bytes) -> None:
+        """Refuse a set-up without an attempt, as the gateway is shutting down."""
+        self.log("refused", call=call_id.hex(), why="the gateway is shutting down")
+        self.reject(viewer, call_id, Cause.SWITCHING_EQUIPMENT_CONGESTION)
+
     def end_session(self, viewer: int, call_id: bytes, frame: bytes) -> None:
         """Report a session's end on its connection, or on another or the next one from the same address."""
         connection = self.connections.get(viewer)
@@ -231,14 +236,11 @@
         """Return whether a set-up is unanswered."""
         return any(connection.open_set_ups for connection in self.connections.values())
 
-    def is_busy(self) -> bool:
-        """Return whether a set-up is open, an answer is unsent, or data may still come to be a set-up."""
+    def has_pending_data(self) -> bool:
+        """Return whether a connection has unsent or unread data, or is in the middle of a message."""
         now = self.loop.now()
         return any(
-            connection.open_set_ups
-            or connection.has_unsent()
-            or connection.has_unread()
-            or connection.is_receiving(now)
+            connection.has_unsent() or connection.has_unread() or connection.is_receiving(now)
             for connection in self.connections.values()
             if not connection.is_closing
         )
--- a/tests/test_configuration_file.py
+++ b/tests/test_configuration_file.py
@@ -108,7 +108,7 @@
         "store.configuration",
         "gateways.revisions",
     )
-    for entry in ("mintmast.process", "mintmast.signalling.node"):
+    for entry in ("mintmast.process", "mintmast.signalling.process"):
         run = subprocess.run([sys.executable, "-c", code.format(entry, mine)], capture_output=True, text=True)
         assert run.stdout.strip() == "[]", run
 
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -151,7 +151,7 @@
 
 
 def test_no_unneeded_library_is_imported():
-    program = f"import sys, mintmast.signalling.node; print([m for m in {UNWANTED} if m in sys.modules])"
+    program = f"import sys, mintmast.signalling.process; print([m for m in {UNWANTED} if m in sys.modules])"
     done = subprocess.run([sys.executable, "-c", program], capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
 
