hosts, fronts: names and docstrings in the field's terms; streams and steering in modules

Need: both packages still spoke the earlier house style (words, telling, asks), media.py held the calls and the event stream, front.py the requests and the steering manifest. What goes over the wire is as before.

--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -26,7 +26,7 @@
 from mintmast.decisions.outcomes import Evidence
 from mintmast.decisions.sessions.book import SessionBook
 from mintmast.gateway import Gateway
-from mintmast.hosts.protocol import LOAD, event, load_header
+from mintmast.hosts.protocol import LOAD, encode_event, encode_load
 from mintmast.http.client import CallFailure, ClientLimits, HttpClient, Reply
 from mintmast.http.server import Exchange, HttpServer, ServerLimits
 from mintmast.lab.drills import FREE, Day, settings
@@ -62,7 +62,7 @@
     """Speak as a host and do nothing else: the least that a set-up can cost there."""
     pin(1)
     loop = SelectorLoop(lambda text: print(text, file=sys.stderr))
-    load = [(LOAD, load_header({"x0": 0.1, "x1": 0.1})), ("Content-Type", "application/json")]
+    load = [(LOAD, encode_load({"x0": 0.1, "x1": 0.1})), ("Content-Type", "application/json")]
 
     def serve() -> int:
         lines: list[Exchange] = []
@@ -70,7 +70,7 @@
         def handle(exchange: Exchange) -> None:
             if exchange.path == "/v1/notes":
                 exchange.start_stream(200, [("Content-Type", "text/event-stream")])
-                exchange.send_chunk(event("hello", process="1", age_ms=None, drains=False))
+                exchange.send_chunk(encode_event("hello", process="1", age_ms=None, drains=False))
                 lines.append(exchange)
             elif exchange.method == "PUT":
                 name = exchange.path.rpartition("/")[2]
@@ -81,7 +81,7 @@
 
         def over(name: str) -> None:
             for line in lines:
-                line.send_chunk(event("ended", session=name, why="played"))
+                line.send_chunk(encode_event("ended", session=name, why="played"))
 
         def alive() -> None:
             for line in lines:
--- a/mintmast/fronts/__init__.py
+++ b/mintmast/fronts/__init__.py
@@ -1,1 +1,1 @@
-"""What viewers speak: adapters to the core that know nothing of hosts or decisions."""
+"""Client protocols: adapters to the core that are independent of hosts and decisions."""
--- a/mintmast/fronts/dash/manifest.py
+++ b/mintmast/fronts/dash/manifest.py
@@ -18,19 +18,19 @@
 URL_PARAMETERS = "urn:mpeg:dash:urlparam:2014"
 LIVE_PROFILE = "urn:mpeg:dash:profile:isoff-live:2011"
 HTTP_ISO = "urn:mpeg:dash:utc:http-iso:2014"
-# where live titles' segment numbers begin: any moment in the past that all gateways agree on
+# origin of the segment numbers of live titles; all gateways must use the same
 LIVE_ORIGIN = "2026-01-01T00:00:00Z"
-_BASE, _QUERY, _PLACE, _STEER = "@base@", "@query@", "@place@", "@steer@"
-_MARK = re.compile("@(base|query|place|steer)@")
-# templates kept: one for each shape of title and best rung; more shapes than this are built anew each time
-_KEPT = 1024
-# s; players fetch a live manifest anew so often, and find moves of the session in it
+_BASE, _QUERY, _PATHWAY, _STEERING = "@base@", "@query@", "@pathway@", "@steering@"
+_PLACEHOLDER = re.compile("@(base|query|pathway|steering)@")
+# templates that are cached, one for each shape
+MAX_TEMPLATES = 1024
+# s after which players fetch a live manifest again, and learn of the session's moves
 UPDATE_S = 30
 
 
 @dataclass(slots=True, frozen=True)
 class Shape:
-    """What a manifest depends on beside the session: seconds, kB a second."""
+    """What a manifest depends on besides the session; times in seconds, rates in kB/s."""
 
     seconds: float
     segment_s: float
@@ -41,43 +41,44 @@
 
 
 class Manifests:
-    """Builds manifests; the shape's text is made once and the session's parts are put in."""
+    """Builds manifests from templates, one for each shape."""
 
     def __init__(self) -> None:
-        self._kept: dict[Shape, list[str]] = {}
+        # each template's text, split at the placeholders: every second part is a placeholder's name
+        self._templates: dict[Shape, list[str]] = {}
 
-    def build(self, shape: Shape, base: str, query: str, place: str, steer: str) -> bytes:
-        """Give the document; `base` ends with a slash, `place` is the pathway's id, `steer` its server."""
-        parts = self._kept.get(shape)
+    def build(self, shape: Shape, base: str, query: str, pathway: str, steering: str) -> bytes:
+        """Return the document; `base` ends with a slash, `steering` is the steering server's URL."""
+        parts = self._templates.get(shape)
         if parts is None:
-            parts = _MARK.split(_document(shape))
-            if len(self._kept) < _KEPT:
-                self._kept[shape] = parts
-        put = {"base": base, "query": query, "place": place, "steer": steer}
-        put = {name: escape(value, {'"': "&quot;"}) for name, value in put.items()}
-        return "".join(put[part] if odd % 2 else part for odd, part in enumerate(parts)).encode()
+            parts = _PLACEHOLDER.split(_render_template(shape))
+            if len(self._templates) < MAX_TEMPLATES:
+                self._templates[shape] = parts
+        values = {"base": base, "query": query, "pathway": pathway, "steering": steering}
+        values = {name: escape(value, {'"': "&quot;"}) for name, value in values.items()}
+        return "".join(values[part] if index % 2 else part for index, part in enumerate(parts)).encode()
 
 
-def _span(seconds: float) -> str:
+def _duration(seconds: float) -> str:
     return f"PT{seconds:.3f}S"
 
 
-def _document(shape: Shape) -> str:
+def _render_template(shape: Shape) -> str:
     root = etree.Element(f"{{{MPD}}}MPD", nsmap={None: MPD, "up": URL_PARAMETERS})
     root.set("profiles", LIVE_PROFILE)
-    root.set("minBufferTime", _span(2 * shape.segment_s))
+    root.set("minBufferTime", _duration(2 * shape.segment_s))
     if shape.live:
         root.set("type", "dynamic")
         root.set("availabilityStartTime", LIVE_ORIGIN)
         root.set("publishTime", LIVE_ORIGIN)
-        root.set("minimumUpdatePeriod", _span(UPDATE_S))
-        root.set("timeShiftBufferDepth", _span(shape.seconds))
-        root.set("suggestedPresentationDelay", _span(3 * shape.segment_s))
-        root.set("maxSegmentDuration", _span(shape.segment_s))
+        root.set("minimumUpdatePeriod", _duration(UPDATE_S))
+        root.set("timeShiftBufferDepth", _duration(shape.seconds))
+        root.set("suggestedPresentationDelay", _duration(3 * shape.segment_s))
+        root.set("maxSegmentDuration", _duration(shape.segment_s))
     else:
         root.set("type", "static")
-        root.set("mediaPresentationDuration", _span(shape.seconds))
-    etree.SubElement(root, f"{{{MPD}}}BaseURL", serviceLocation=_PLACE).text = _BASE
+        root.set("mediaPresentationDuration", _duration(shape.seconds))
+    etree.SubElement(root, f"{{{MPD}}}BaseURL", serviceLocation=_PATHWAY).text = _BASE
     period = etree.SubElement(root, f"{{{MPD}}}Period", id="0", start="PT0S")
     video = etree.SubElement(
         period,
@@ -109,14 +110,14 @@
             id=f"r{shape.first + step}",
             bandwidth=str(max(1, round(kb * 8000))),
         )
-    steering = etree.SubElement(root, f"{{{MPD}}}ContentSteering", defaultServiceLocation=_PLACE)
+    steering = etree.SubElement(root, f"{{{MPD}}}ContentSteering", defaultServiceLocation=_PATHWAY)
     steering.set("queryBeforeStart", "false")
-    steering.text = _STEER
+    steering.text = _STEERING
     if shape.live:
         etree.SubElement(root, f"{{{MPD}}}UTCTiming", schemeIdUri=HTTP_ISO, value=shape.clock)
     return etree.tostring(root, xml_declaration=True, encoding="UTF-8").decode()
 
 
 def iso_time(seconds: float) -> str:
-    """Give a wall clock's time as ISO 8601 in UTC."""
+    """Return a time of the wall clock as ISO 8601 in UTC."""
     return datetime.fromtimestamp(seconds, UTC).isoformat(timespec="milliseconds").replace("+00:00", "Z")
--- a/mintmast/fronts/tokens.py
+++ b/mintmast/fronts/tokens.py
@@ -1,6 +1,6 @@
-"""Tokens: viewers' access tokens are checked, session tokens are signed (RFC 7519, RFC 7515, RFC 8725).
+"""Access tokens of viewers and session tokens for hosts: JWT (RFC 7519, RFC 7515, RFC 8725).
 
-The algorithm comes from the key that `kid` names, never from the token. A token has an audience and an end.
+The algorithm is that of the key that `kid` names, never one from the token. Audience and expiry are required.
 """
 
 from __future__ import annotations
@@ -11,14 +11,14 @@
 import jwt
 import msgspec
 
-# bytes; a token longer than this is not looked at: real ones are a few hundred
-MAX_TOKEN = 4096
-# audience of session tokens: keeps an access token from being used at a host, and the other way round
-SEGMENTS = "mintmast-segments"
+# bytes of a token; real ones have a few hundred
+MAX_TOKEN_BYTES = 4096
+# audience of session tokens: an access token must not be valid at a host, nor a session token at a gateway
+SEGMENT_AUDIENCE = "mintmast-segments"
 
 
 class TokenError(Exception):
-    """A token that is not good; `forbidden` where it is genuine but not for this."""
+    """An invalid token; `forbidden` if it is genuine but does not permit the request."""
 
     def __init__(self, reason: str, forbidden: bool = False) -> None:
         super().__init__(reason)
@@ -26,7 +26,7 @@
 
 
 class Keys:
-    """Keys by `kid`, each with its one algorithm."""
+    """Keys by `kid`, each with its only algorithm. Raises TokenError for a key that cannot be used."""
 
     def __init__(self, jwks: list[dict[str, Any]]) -> None:
         self.keys = {}
@@ -39,12 +39,12 @@
     def verify(
         self, token: str, audience: str, skew: float, now: float, require: list[str]
     ) -> dict[str, Any]:
-        """Give the claims of a good token. Raises TokenError."""
-        if len(token) > MAX_TOKEN:
+        """Return the claims of a valid token; `skew` and `now` in seconds. Raises TokenError."""
+        if len(token) > MAX_TOKEN_BYTES:
             raise TokenError("the token is too long")
         try:
-            # the library's look at the header decodes the whole token once more; only the name is needed
-            # here, and what it names decides key and algorithm before anything of the token is believed
+            # the library would decode the whole token to read its header; only `kid` is needed here, and it
+            # selects the key and the algorithm before any claim is trusted
             header = msgspec.json.decode(jwt.utils.base64url_decode(token.partition(".")[0]))
             kid = header.get("kid") if isinstance(header, dict) else None
             if not isinstance(kid, str) or kid not in self.keys:
@@ -80,7 +80,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Viewer:
-    """Who asks, from an access token."""
+    """The holder of an access token, and what it permits."""
 
     subject: str
     tenant: str
@@ -91,13 +91,13 @@
 
 
 class AccessTokens:
-    """Checks viewers' tokens: `sub`, `tenant`, `class`, and where given `rung`, `title`, `jti`."""
+    """Checks access tokens: claims `sub`, `tenant`, `class`, and optionally `rung`, `title`, `jti`."""
 
     def __init__(self, keys: Keys, audience: str, skew: float) -> None:
         self.keys, self.audience, self.skew = keys, audience, skew
 
-    def viewer(self, token: str, now: float) -> Viewer:
-        """Give who asks. Raises TokenError."""
+    def check(self, token: str, now: float) -> Viewer:
+        """Return the viewer of a valid token; `now` in seconds since 1970. Raises TokenError."""
         claims = self.keys.verify(token, self.audience, self.skew, now, ["exp", "aud", "sub"])
         texts = {name: claims.get(name, "") for name in ("sub", "tenant", "class", "jti")}
         if not all(isinstance(each, str) for each in texts.values()):
@@ -111,16 +111,24 @@
 
 
 class SessionTokens:
-    """Signs and checks what a player shows at a host: session, title, host, rung, epoch, end."""
+    """Signs and checks session tokens, which name session, title, host, best rung, epoch and expiry."""
 
     def __init__(self, keys: Keys, signer: str | None, skew: float) -> None:
         self.keys, self.signer, self.skew = keys, signer, skew
 
     def sign(self, session: str, title: str, host: str, rung: int, epoch: int, until: float) -> str:
-        """Give the token of a session at a host."""
-        claims = {"aud": SEGMENTS, "sid": session, "ttl": title, "hst": host, "rng": rung, "epo": epoch}
+        """Return the token of a session at a host, valid until a time in seconds since 1970."""
+        claims = {
+            "aud": SEGMENT_AUDIENCE,
+            "sid": session,
+            "ttl": title,
+            "hst": host,
+            "rng": rung,
+            "epo": epoch,
+        }
         return self.keys.sign(self.signer or "", {**claims, "exp": int(until)})
 
     def check(self, token: str, now: float) -> dict[str, Any]:
-        """Give the claims of a good token. Raises TokenError."""
-        return self.keys.verify(token, SEGMENTS, self.skew, now, ["exp", "aud", "sid", "ttl", "hst", "epo"])
+        """Return the claims of a valid token; `now` in seconds since 1970. Raises TokenError."""
+        required = ["exp", "aud", "sid", "ttl", "hst", "epo"]
+        return self.keys.verify(token, SEGMENT_AUDIENCE, self.skew, now, required)
--- a/mintmast/hosts/__init__.py
+++ b/mintmast/hosts/__init__.py
@@ -1,1 +1,1 @@
-"""What media hosts speak; the protocol's page is docs/design/media-host-protocol.md."""
+"""The adapter to media hosts; the protocol is specified in docs/design/media-host-protocol.md."""
--- a/mintmast/hosts/media.py
+++ b/mintmast/hosts/media.py
@@ -1,8 +1,7 @@
-"""The gateway's side of the media host protocol: HTTP calls and the line of notes from each host."""
+"""The gateway's side of the media host protocol: HTTP calls to hosts, and their event streams."""
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote
@@ -12,12 +11,11 @@
 from mintmast.core.ports import HostEvents, SetUpRequest
 from mintmast.decisions.messages import NO_STATUS, HostStatus
 from mintmast.decisions.outcomes import Evidence, HostReport, may_have_run
-from mintmast.hosts.protocol import CLOCK, LOAD, NEVER_RAN, read_load
-from mintmast.http.client import DEFAULT_LIMITS, Address, Call, CallFailure, ClientLimits, HttpClient, Reply
-from mintmast.http.events import EventReader
+from mintmast.hosts.notes import NoteStream
+from mintmast.hosts.protocol import CLOCK, LOAD, NEVER_RAN, parse_clock, parse_load, parse_server_address
+from mintmast.http.client import DEFAULT_LIMITS, Call, CallFailure, ClientLimits, HttpClient, Reply
 from mintmast.http.server import Headers
-from mintmast.interface import NoteKind
-from mintmast.loop import Loop, Timer
+from mintmast.loop import Loop
 
 _EVIDENCE = {
     CallFailure.REFUSED: Evidence.REFUSED,
@@ -31,17 +29,16 @@
     CallFailure.CALLED_OFF: Evidence.CALLED_OFF,
     CallFailure.CALLED_OFF_UNSENT: Evidence.CALLED_OFF_UNSENT,
 }
-_NOTES = {"delivered": NoteKind.DELIVERED, "link": NoteKind.LINK, "uplink": NoteKind.UPLINK}
-
-
-def address_of(server: bytes) -> Address:
-    """Give host and port of a server's id."""
-    host, _, port = server.decode().rpartition(":")
-    return host, int(port)
+SESSIONS_PATH = "/v1/sessions/"
+LEASES_PATH = "/v1/leases"
+RECONCILE_PATH = "/v1/settle"
+NOTES_PATH = "/v1/notes"
+# rungs are below this
+MAX_RUNGS = 256
 
 
 def evidence_of(reply: Reply | CallFailure) -> Evidence:
-    """Tell what a set-up's call showed; see `decisions/outcomes.py` for what each means."""
+    """Return what a set-up's call shows; see `decisions/outcomes.py` for the meaning of each."""
     if isinstance(reply, CallFailure):
         return _EVIDENCE[reply]
     mark = reply.headers.get(NEVER_RAN.lower())
@@ -55,77 +52,79 @@
 
 
 class MediaHosts:
-    """Speaks to media hosts for the core.
+    """The adapter to media hosts, as `core.ports.HostPort` describes it.
 
-    `gateway` and `start` name this life of the gateway; `fields` are the loads that answers carry; a line
-    that is silent for `silent` microseconds counts as broken.
+    `gateway` and `generation` identify this process to the hosts; `load_fields` are the loads that replies
+    carry; an event stream that is silent for `silence_timeout` µs counts as broken.
     """
 
     def __init__(
         self,
         loop: Loop,
         gateway: str,
-        start: int,
-        fields: tuple[str, ...],
+        generation: int,
+        load_fields: tuple[str, ...],
         limits: ClientLimits = DEFAULT_LIMITS,
-        silent: int = 3_000_000,
+        silence_timeout: int = 3_000_000,
     ) -> None:
-        self.loop, self.fields, self.silent = loop, fields, silent
-        self.client = HttpClient(loop, limits, f"mintmast/{gateway}")
-        self._who = f"gateway={quote(gateway)}&start={start}"
+        self._loop, self._load_fields, self._silence_timeout = loop, load_fields, silence_timeout
+        self._client = HttpClient(loop, limits, f"mintmast/{gateway}")
+        self._identity = f"gateway={quote(gateway)}&start={generation}"
         self._events: HostEvents | None = None
-        self._out: dict[tuple[str, int], Call] = {}
-        self._lines: dict[bytes, _Line] = {}
+        self._set_ups: dict[tuple[str, int], Call] = {}  # in progress, by session and attempt
+        self._note_streams: dict[bytes, NoteStream] = {}
 
     def attach(self, events: HostEvents) -> None:
-        """Tell who hears what hosts say."""
+        """Set the receiver of the hosts' events."""
         self._events = events
 
-    def set_up(self, order: SetUpRequest, done: Callable[[Evidence, HostStatus], None]) -> None:
-        """Ask a host for a session."""
+    def set_up(self, request: SetUpRequest, done: Callable[[Evidence, HostStatus], None]) -> None:
+        """Request a session from a host."""
         body = {
-            "title": order.title,
-            "rung": order.rung,
-            "best_rung": order.best_rung,
-            "kb": order.rate_kb,
-            "epoch": order.epoch,
-            "lease_ms": order.lease // 1000,
-            "paid": order.paid,
-            "key": order.key,
-            "who": self._who,
-            "call": order.call_number,
-            "from": order.moved_from,
-            "clock": order.clock,
+            "title": request.title,
+            "rung": request.rung,
+            "best_rung": request.best_rung,
+            "kb": request.rate_kb,
+            "epoch": request.epoch,
+            "lease_ms": request.lease // 1000,
+            "paid": request.paid,
+            "key": request.key,
+            "who": self._identity,
+            "call": request.call_number,
+            "from": request.moved_from,
+            "clock": request.clock,
         }
-        key = order.session, order.attempt
+        key = request.session, request.attempt
 
-        def ended(reply: Reply | CallFailure) -> None:
-            self._out.pop(key, None)
-            done(evidence_of(reply), self._told(reply))
+        def finish(reply: Reply | CallFailure) -> None:
+            self._set_ups.pop(key, None)
+            done(evidence_of(reply), self._parse_status(reply))
 
-        headers = [("Idempotency-Key", f'"{order.session}/{order.epoch}"')]
-        self._out[key] = self._call(order.server, "PUT", order.session, ended, order.until, body, headers)
+        target = SESSIONS_PATH + request.session
+        headers = [("Idempotency-Key", f'"{request.session}/{request.epoch}"')]
+        self._set_ups[key] = self._call(request.server, "PUT", target, finish, request.until, body, headers)
 
     def cancel_set_up(self, session: str, attempt: int) -> None:
-        """Break off a set-up."""
-        call = self._out.pop((session, attempt), None)
+        """Cancel a set-up."""
+        call = self._set_ups.pop((session, attempt), None)
         if call is not None:
             call.cancel()
 
-    def set_rung(self, server: bytes, session: str, epoch: int, rung: int, kb: float) -> None:
-        """Tell a host the rung of a session; a lost one is mended by the next."""
-        body = {"epoch": epoch, "rung": rung, "kb": kb}
-        self._call(server, "PATCH", session, lambda reply: None, self.loop.now() + self.silent, body)
+    def set_rung(self, server: bytes, session: str, epoch: int, rung: int, rate_kb: float) -> None:
+        """Set the rung of a session; the next renewal of its lease repeats it if this call is lost."""
+        body = {"epoch": epoch, "rung": rung, "kb": rate_kb}
+        deadline = self._loop.now() + self._silence_timeout
+        self._call(server, "PATCH", SESSIONS_PATH + session, lambda reply: None, deadline, body)
 
     def end_session(
         self, server: bytes, session: str, epoch: int, until: int, done: Callable[[bool], None]
     ) -> None:
-        """End a session's epochs up to this one."""
+        """Terminate a session's epochs up to this one."""
 
-        def ended(reply: Reply | CallFailure) -> None:
+        def finish(reply: Reply | CallFailure) -> None:
             done(isinstance(reply, Reply) and reply.status in (200, 204))
 
-        self._call(server, "DELETE", f"{session}?epoch={epoch}", ended, until)
+        self._call(server, "DELETE", f"{SESSIONS_PATH}{session}?epoch={epoch}", finish, until)
 
     def renew_leases(
         self,
@@ -137,22 +136,19 @@
         clock: int,
         done: Callable[[bool, bool, tuple[str, ...], HostStatus], None],
     ) -> None:
-        """Renew leases."""
-
-        def ended(reply: Reply | CallFailure) -> None:
-            answered = isinstance(reply, Reply) and reply.status == 200
-            unknown: tuple[str, ...] = ()
-            if isinstance(reply, Reply) and answered:
-                told = _read(reply.body).get("unknown", [])
-                unknown = (
-                    tuple(each for each in told if isinstance(each, str)) if isinstance(told, list) else ()
-                )
-            arrived = isinstance(reply, Reply) or may_have_run(_EVIDENCE[reply])
-            done(answered, arrived, unknown, self._told(reply))
-
-        told = {name: {"epoch": epoch, "rung": rung, "kb": kb} for name, epoch, rung, kb in sessions}
-        body = {"lease_ms": lease // 1000, "call": number, "clock": clock, "sessions": told, "who": self._who}
-        self._call(server, "POST", "", ended, until, body, path="/v1/leases")
+        """Renew leases of (session, epoch, rung, kB a second)."""
+
+        def finish(reply: Reply | CallFailure) -> None:
+            if isinstance(reply, CallFailure):
+                done(False, may_have_run(_EVIDENCE[reply]), (), NO_STATUS)
+                return
+            is_renewed = reply.status == 200
+            unknown = _parse_unknown_sessions(reply.body) if is_renewed else ()
+            done(is_renewed, True, unknown, self._parse_status(reply))
+
+        renewed = {name: {"epoch": epoch, "rung": rung, "kb": kb} for name, epoch, rung, kb in sessions}
+        body = self._lease_body(lease, number, clock) | {"sessions": renewed}
+        self._call(server, "POST", LEASES_PATH, finish, until, body)
 
     def reconcile_sessions(
         self,
@@ -164,44 +160,51 @@
         clock: int,
         done: Callable[[int, tuple[tuple[str, HostReport, int], ...], HostStatus], None],
     ) -> None:
-        """Ask after sessions of earlier lives, and take over those which play."""
+        """Query sessions of earlier generations, and take over those that play."""
 
-        def ended(reply: Reply | CallFailure) -> None:
+        def finish(reply: Reply | CallFailure) -> None:
             if isinstance(reply, CallFailure) or reply.status != 200:
-                done(-1, (), self._told(reply))
+                done(-1, (), self._parse_status(reply))
                 return
-            told = _read(reply.body)
-            about = told.get("sessions")
-            words = [(name, _word(each)) for name, each in about.items()] if isinstance(about, dict) else []
-            since = _reading(told.get("since", ""))
-            said = tuple((name, *word) for name, word in words if word is not None)
-            done(since, said, self._told(reply))
+            body = _decode_object(reply.body)
+            since = parse_clock(body.get("since", ""))
+            done(since, _parse_reports(body.get("sessions")), self._parse_status(reply))
 
-        asked = {name: {"epoch": epoch} for name, epoch in sessions.items()}
-        body = {"who": self._who, "lease_ms": lease // 1000, "call": number, "clock": clock}
-        self._call(server, "POST", "", ended, until, {**body, "sessions": asked}, path="/v1/settle")
+        queried = {name: {"epoch": epoch} for name, epoch in sessions.items()}
+        body = self._lease_body(lease, number, clock) | {"sessions": queried}
+        self._call(server, "POST", RECONCILE_PATH, finish, until, body)
+
+    def _lease_body(self, lease: int, number: int, clock: int) -> dict[str, Any]:
+        return {"who": self._identity, "lease_ms": lease // 1000, "call": number, "clock": clock}
 
     def watch(self, server: bytes) -> None:
-        """Open the line on which a host tells what happens."""
-        if server not in self._lines and self._events is not None:
-            self._lines[server] = _Line(self, server, self._events, f"/v1/notes?{self._who}")
+        """Open a host's event stream."""
+        if server not in self._note_streams and self._events is not None:
+            self._note_streams[server] = NoteStream(
+                self._loop,
+                self._client,
+                server,
+                f"{NOTES_PATH}?{self._identity}",
+                self._silence_timeout,
+                self._events,
+                self._remove_note_stream,
+            )
 
     def unwatch(self, server: bytes) -> None:
-        """Close that line."""
-        line = self._lines.pop(server, None)
-        if line is not None:
-            line.close()
+        """Close a host's event stream without a further event."""
+        stream = self._note_streams.pop(server, None)
+        if stream is not None:
+            stream.close()
 
-    def line_over(self, line: _Line) -> None:
-        """Forget a line that broke."""
-        if self._lines.get(line.server) is line:
-            del self._lines[line.server]
+    def _remove_note_stream(self, stream: NoteStream) -> None:
+        if self._note_streams.get(stream.server) is stream:
+            del self._note_streams[stream.server]
 
-    def _told(self, reply: Reply | CallFailure) -> HostStatus:
+    def _parse_status(self, reply: Reply | CallFailure) -> HostStatus:
         if isinstance(reply, CallFailure):
             return NO_STATUS
-        load = read_load(reply.headers.get(LOAD, ""), self.fields)
-        return HostStatus(load, _reading(reply.headers.get(CLOCK.lower(), "")))
+        load = parse_load(reply.headers.get(LOAD, ""), self._load_fields)
+        return HostStatus(load, parse_clock(reply.headers.get(CLOCK.lower(), "")))
 
     def _call(
         self,
@@ -212,119 +215,46 @@
         until: int,
         body: dict[str, Any] | None = None,
         headers: Headers | None = None,
-        path: str = "/v1/sessions/",
     ) -> Call:
         data = b""
         headers = headers or []
         if body is not None:
             data = msgspec.json.encode(body)
             headers = [*headers, ("Content-Type", "application/json")]
-        return self.client.call(address_of(server), method, path + target, done, headers, data, until)
+        return self._client.call(parse_server_address(server), method, target, done, headers, data, until)
+
+
+def _parse_unknown_sessions(body: bytes) -> tuple[str, ...]:
+    """Return the names of the sessions that a host does not know."""
+    names = _decode_object(body).get("unknown", [])
+    return tuple(name for name in names if isinstance(name, str)) if isinstance(names, list) else ()
 
 
-def _reading(told: object) -> int:
-    """Give a clock's reading in µs, -1 for what is none."""
-    text = str(told)
-    return int(text) if text.isascii() and text.isdigit() and len(text) < 19 else -1
+def _parse_reports(sessions: object) -> tuple[tuple[str, HostReport, int], ...]:
+    """Return the name, report and rung of each session; those that cannot be read are left out."""
+    if not isinstance(sessions, dict):
+        return ()
+    reports = ((name, _parse_report(fields)) for name, fields in sessions.items())
+    return tuple((name, *report) for name, report in reports if report is not None)
 
 
-def _word(told: object) -> tuple[HostReport, int] | None:
-    """Give what a host tells of one session, and its rung; None for what is none."""
-    if not isinstance(told, dict):
+def _parse_report(fields: object) -> tuple[HostReport, int] | None:
+    """Return what a host reports of one session, and its rung; None if it cannot be read."""
+    if not isinstance(fields, dict):
         return None
     try:
-        word = HostReport(told.get("state"))
+        report = HostReport(fields.get("state"))
     except ValueError:
         return None
-    rung = told.get("rung", 0)
-    good = isinstance(rung, int) and not isinstance(rung, bool) and 0 <= rung < 256
-    return (word, rung) if good else None
+    rung = fields.get("rung", 0)
+    is_rung = isinstance(rung, int) and not isinstance(rung, bool) and 0 <= rung < MAX_RUNGS
+    return (report, rung) if is_rung else None
 
 
-def _read(body: bytes) -> dict[str, Any]:
+def _decode_object(body: bytes) -> dict[str, Any]:
+    """Return a JSON object, empty if the body is not one."""
     try:
         value = msgspec.json.decode(body)
     except (msgspec.DecodeError, RecursionError):
         return {}
     return value if isinstance(value, dict) else {}
-
-
-class _Line:
-    """The standing call on which a host tells what happens."""
-
-    def __init__(self, hosts: MediaHosts, server: bytes, events: HostEvents, target: str) -> None:
-        self.server, self._hosts, self._events = server, hosts, events
-        self._reader = EventReader(self._told)
-        self._said_hello = False
-        self._over = False
-        self._timer: Timer | None = None
-        self._call: Call | None = None
-        self._call = hosts.client.call(
-            address_of(server),
-            "GET",
-            target,
-            self._ended,
-            [("Accept", "text/event-stream")],
-            on_headers=self._head,
-            on_chunk=self._chunk,
-        )
-        self._heard()
-
-    def _heard(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer = self._hosts.loop.call_at(self._hosts.loop.now() + self._hosts.silent, self._silent)
-
-    def _silent(self) -> None:
-        if self._call is not None:
-            self._call.fail(CallFailure.SILENT)
-
-    def _head(self, status: int, headers: dict[str, str]) -> None:
-        if status != 200:
-            self._hosts.loop.call_soon(self._silent)
-
-    def _chunk(self, data: bytes) -> None:
-        self._heard()
-        if not self._reader.feed(data):
-            self._hosts.loop.call_soon(self._silent)
-
-    def _told(self, kind: str, fields: dict[str, Any]) -> None:
-        if self._over:
-            return
-        if kind == "hello":
-            age = fields.get("age_ms")
-            known = isinstance(age, int | float) and not isinstance(age, bool) and 0 <= age < 1e15
-            self._said_hello = True
-            process = str(fields.get("process", ""))[:100]
-            age_us = int(age * 1000) if known else None
-            clock = _reading(fields.get("clock", ""))
-            self._events.host_connected(self.server, process, age_us, fields.get("drains") is True, clock)
-        elif not self._said_hello:
-            return
-        elif kind == "tick":
-            self._events.host_heartbeat(self.server, _reading(fields.get("clock", "")))
-        elif kind == "drain":
-            self._events.host_drain_changed(self.server, fields.get("drains") is True)
-        elif kind == "ended":
-            self._events.session_ended(self.server, str(fields.get("session", "")))
-        elif kind in _NOTES:
-            value = fields.get("value")
-            if isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value):
-                self._events.host_measured(self.server, _NOTES[kind], float(value))
-
-    def _ended(self, reply: Reply | CallFailure) -> None:
-        if self._over:
-            return
-        self._over = True
-        if self._timer is not None:
-            self._timer.cancel()
-        self._hosts.line_over(self)
-        self._events.host_disconnected(self.server, reply is CallFailure.REFUSED)
-
-    def close(self) -> None:
-        """Close it without a word to the core."""
-        self._over = True
-        if self._timer is not None:
-            self._timer.cancel()
-        if self._call is not None:
-            self._call.cancel()
--- a/mintmast/hosts/protocol.py
+++ b/mintmast/hosts/protocol.py
@@ -1,4 +1,7 @@
-"""Words of the media host protocol that both sides need: paths, marks, load header, event lines."""
+"""Elements of the media host protocol that both sides use: header names, load, clocks, events.
+
+The protocol is specified in docs/design/media-host-protocol.md.
+"""
 
 from __future__ import annotations
 
@@ -7,42 +10,59 @@
 
 import msgspec
 
-# reply field of a host that did not run the set-up: `full`, `draining` or `fenced`
+from mintmast.http.client import Address
+
+# reply header of a host that did not run the set-up: `full`, `draining` or `fenced`
 NEVER_RAN = "Mintmast-Never-Ran"
+# reply header with the host's load (ORCA)
 LOAD = "endpoint-load-metrics"
-# reply field with a reading of the host's clock, in µs
+# reply header with a reading of the host's clock, in µs
 CLOCK = "Mintmast-Clock"
+# digits of a clock reading: with more it does not fit into 64 bits
+MAX_CLOCK_DIGITS = 18
+
 
+def parse_server_address(server: bytes) -> Address:
+    """Return the host and port that a server's id consists of."""
+    host, _, port = server.decode().rpartition(":")
+    return host, int(port)
 
-def load_header(use: dict[str, float]) -> str:
-    """Give the ORCA header's value in its JSON form."""
-    return "JSON " + msgspec.json.encode({"named_metrics": use}).decode()
 
+def encode_load(utilisation: dict[str, float]) -> str:
+    """Return the value of the ORCA header in its JSON form."""
+    return "JSON " + msgspec.json.encode({"named_metrics": utilisation}).decode()
 
-def read_load(value: str, fields: tuple[str, ...]) -> tuple[float, ...]:
-    """Read an ORCA header, JSON or TEXT form; () where it does not hold all `fields` as finite numbers."""
-    form, _, rest = value.strip().partition(" ")
-    told: dict[str, Any] = {}
+
+def parse_load(value: str, fields: tuple[str, ...]) -> tuple[float, ...]:
+    """Parse an ORCA header, JSON or TEXT form; return () if not all `fields` are present and finite."""
+    form, _, text = value.strip().partition(" ")
+    metrics: dict[str, Any] = {}
     try:
         if form == "JSON":
-            body = msgspec.json.decode(rest)
+            body = msgspec.json.decode(text)
             named = body.get("named_metrics", {}) if isinstance(body, dict) else {}
-            told = named if isinstance(named, dict) else {}
+            metrics = named if isinstance(named, dict) else {}
         elif form == "TEXT":
-            for part in rest.split(","):
+            for part in text.split(","):
                 name, _, number = part.strip().partition("=")
-                told[name.removeprefix("named_metrics.")] = float(number)
+                metrics[name.removeprefix("named_metrics.")] = float(number)
     except (ValueError, msgspec.DecodeError, RecursionError):
         return ()
     load = []
     for name in fields:
-        number = told.get(name)
+        number = metrics.get(name)
         if isinstance(number, bool) or not isinstance(number, int | float) or not math.isfinite(number):
             return ()
         load.append(float(number))
     return tuple(load)
 
 
-def event(kind: str, **fields: Any) -> bytes:
-    """Give one server-sent event."""
+def parse_clock(reading: object) -> int:
+    """Return the reading of a clock in µs, -1 if it is not one."""
+    text = str(reading)
+    return int(text) if text.isascii() and text.isdigit() and len(text) <= MAX_CLOCK_DIGITS else -1
+
+
+def encode_event(kind: str, **fields: Any) -> bytes:
+    """Return one server-sent event."""
     return b"event: %b\ndata: %b\n\n" % (kind.encode(), msgspec.json.encode(fields))
--- a/mintmast/lab/scale/bench.py
+++ b/mintmast/lab/scale/bench.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from mintmast.decisions import messages as msg
-from mintmast.hosts.protocol import CLOCK, LOAD, event, load_header
+from mintmast.hosts.protocol import CLOCK, LOAD, encode_event, encode_load
 from mintmast.lab.standin import KEEP_ALIVE
 from mintmast.loop.base import DEFAULT_LIMITS, Handler, StreamLimits, Timer, Timers
 from mintmast.loop.memory import EPOCH_S
@@ -116,7 +116,7 @@
 
     def line(self, host: str, kind: str, **fields: Any) -> None:
         """Let a host say something on its line."""
-        wire, data = self.lines.get(host), event(kind, **fields)
+        wire, data = self.lines.get(host), encode_event(kind, **fields)
         if wire is not None:
             wire.told(f"line.{kind}", b"%x\r\n%b\r\n" % (len(data), data))
 
@@ -153,7 +153,7 @@
         body = b'{"unknown": []}' if kind == "renew" else b"{}"
         if kind == "renew":
             bench.renewed += data.count(b'"epoch":')
-        use = load_header({"x0": USE, "x1": USE})
+        use = encode_load({"x0": USE, "x1": USE})
         head = (
             f"HTTP/1.1 {201 if kind == 'set_up' else 200} OK\r\n{LOAD}: {use}\r\n{CLOCK}: {bench.time}\r\n"
             f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
--- a/mintmast/lab/standin.py
+++ b/mintmast/lab/standin.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from mintmast.fronts.tokens import SessionTokens
-from mintmast.hosts.protocol import CLOCK, LOAD, NEVER_RAN, event, load_header
+from mintmast.hosts.protocol import CLOCK, LOAD, NEVER_RAN, encode_event, encode_load
 from mintmast.http.server import Exchange, Headers, HttpServer, ServerLimits
 from mintmast.lab.hostmodel import SHORT, Held, HostModel, Link, Rack
 from mintmast.lab.media import segment
@@ -289,7 +289,9 @@
         exchange.start_stream(200, [("Content-Type", "text/event-stream"), ("Cache-Control", "no-store")])
         age = (self.loop.now() - self.started) / 1000 if self.cold_start else None
         exchange.send_chunk(
-            event("hello", process=self.process, age_ms=age, drains=self.draining, clock=self.loop.now())
+            encode_event(
+                "hello", process=self.process, age_ms=age, drains=self.draining, clock=self.loop.now()
+            )
         )
         self.record("hello", host=self.name, who=who, drains=self.draining)
         if self.draining:
@@ -300,7 +302,7 @@
             return
         for exchange, who in list(self._lines.items()):
             if to is None or to == who:
-                exchange.send_chunk(event(kind, **fields))
+                exchange.send_chunk(encode_event(kind, **fields))
                 if kind == "drain" and fields.get("drains"):
                     self.record("drain_told", host=self.name, who=who)
 
@@ -322,7 +324,7 @@
     def _keep_alive(self) -> None:
         if not self.hang:
             for exchange in list(self._lines):
-                exchange.send_chunk(event("tick", clock=self.loop.now()))
+                exchange.send_chunk(encode_event("tick", clock=self.loop.now()))
 
     # Sessions
 
@@ -347,7 +349,7 @@
 
     def _load(self) -> Headers:
         use = {"x0": round(self.asked() / max(1e-9, self.rate()), 4), "x1": round(self.rack.use(), 4)}
-        return [(LOAD, load_header(use)), (CLOCK, str(self.loop.now()))]
+        return [(LOAD, encode_load(use)), (CLOCK, str(self.loop.now()))]
 
     def _every(self, span: int, do: Callable[[], None]) -> None:
         def again() -> None:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -12,7 +12,7 @@
 
 from mintmast.cli import main
 from mintmast.config import SCHEMA, ConfigError, parse
-from mintmast.hosts.protocol import event, load_header, read_load
+from mintmast.hosts.protocol import encode_event, encode_load, parse_load
 from mintmast.http.events import EventReader
 from mintmast.interface import ListEntry, ServerState
 from mintmast.lab.drills import Day, settings
@@ -88,17 +88,17 @@
 @given(st.text(max_size=60))
 def test_load_header_is_read_or_passed_over(text):
     for form in (text, f"JSON {text}", f"TEXT {text}"):
-        assert len(read_load(form, ("x0",))) in (0, 1)
-    assert read_load(load_header({"x0": 0.5, "x1": 2}), ("x0", "x1")) == (0.5, 2.0)
-    assert read_load("TEXT named_metrics.x0=0.25,cpu_utilization=1", ("x0",)) == (0.25,)
-    assert read_load('JSON {"named_metrics":{"x0":NaN}}', ("x0",)) == ()
+        assert len(parse_load(form, ("x0",))) in (0, 1)
+    assert parse_load(encode_load({"x0": 0.5, "x1": 2}), ("x0", "x1")) == (0.5, 2.0)
+    assert parse_load("TEXT named_metrics.x0=0.25,cpu_utilization=1", ("x0",)) == (0.25,)
+    assert parse_load('JSON {"named_metrics":{"x0":NaN}}', ("x0",)) == ()
 
 
 @given(st.lists(st.binary(max_size=20)), st.integers(1, 9))
 def test_event_lines_are_read_whole_in_any_pieces_and_rubbish_ends_the_line(rubbish, size):
     seen = []
     reader = EventReader(lambda kind, fields: seen.append((kind, fields)))
-    data = b": \n\n" + event("link", value=0.5) + event("ended", session="a")
+    data = b": \n\n" + encode_event("link", value=0.5) + encode_event("ended", session="a")
     for at in range(0, len(data), size):
         assert reader.feed(data[at : at + size])
     assert seen == [("link", {"value": 0.5}), ("ended", {"session": "a"})]
--- a/tests/test_dash.py
+++ b/tests/test_dash.py
@@ -133,9 +133,9 @@
     token = keys.sign("viewers-1", {"aud": "mintmast", "sub": "v", "exp": 1_800_000_000})
     for skew in (0, 30):
         tokens = AccessTokens(keys, "mintmast", skew)
-        assert tokens.viewer(token, 1_800_000_000 + skew - 0.001).subject == "v"
+        assert tokens.check(token, 1_800_000_000 + skew - 0.001).subject == "v"
         with pytest.raises(TokenError, match="expired"):
-            tokens.viewer(token, 1_800_000_000 + skew)
+            tokens.check(token, 1_800_000_000 + skew)
 
 
 def test_the_algorithm_is_the_keys_and_not_the_tokens():
@@ -144,10 +144,10 @@
     key = Keys([ACCESS]).keys["viewers-1"][0].key
     for algorithm, secret in (("none", ""), ("HS512", key)):
         with pytest.raises(TokenError):
-            tokens.viewer(jwt.encode(good, secret, algorithm, {"kid": "viewers-1"}), 1_800_000_000)
+            tokens.check(jwt.encode(good, secret, algorithm, {"kid": "viewers-1"}), 1_800_000_000)
     with pytest.raises(TokenError):  # a session's token is no access token, though the secret were the same
         other = Keys([{**ACCESS, "kid": SESSION["kid"]}])
-        tokens.viewer(other.sign(SESSION["kid"], good), 1_800_000_000)
+        tokens.check(other.sign(SESSION["kid"], good), 1_800_000_000)
 
 
 def test_requests_that_are_no_manifest_get_what_http_says():
