--- a/mintmast/lab/soak/viewers.py
+++ b/mintmast/lab/soak/viewers.py
@@ -163,7 +163,7 @@
             viewers.loop.call_soon(self._write_first)
 
     def _cancel(self, request: Request, due: int) -> None:
-        """Give a request up, unless it was answered: what has come meanwhile is read first."""
+        """Cancel a request that is unanswered; if the cancel is late, read first what has come meanwhile."""
         now = self.viewers.loop.now()
         if self._is_amid_message or now - due > MAX_LATE_CANCEL_US:
             self.viewers.loop.call_at(now + MS, self._cancel, request, now + MS)
