Steering manifest, clock digits: a clause that was not checked goes, a comment says what holds

The clause number of the steering manifest was written from memory, and a number of 19 digits may fit into 64 bits. Change: one docstring, one comment.

--- a/mintmast/fronts/dash/steering.py
+++ b/mintmast/fronts/dash/steering.py
@@ -1,4 +1,4 @@
-"""Content steering manifests (ETSI TS 103 998, clause 6): they lead a player to the host of its session."""
+"""Content steering manifests (ETSI TS 103 998): they lead a player to the host of its session."""
 
 from __future__ import annotations
 
--- a/mintmast/hosts/protocol.py
+++ b/mintmast/hosts/protocol.py
@@ -18,7 +18,7 @@
 LOAD = "endpoint-load-metrics"
 # reply header with a reading of the host's clock, in µs
 CLOCK = "Mintmast-Clock"
-# digits of a clock reading: with more it does not fit into 64 bits
+# digits of a clock reading: all numbers of so many fit into 64 bits
 MAX_CLOCK_DIGITS = 18
 
 
