--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -403,6 +403,16 @@
         command = [sys.executable, __file__, str(self.record.path), *map(str, values)]
         self.process = subprocess.Popen(command)
 
+    async def listens(self) -> None:
+        """Wait until the process accepts connections."""
+        for _ in range(100):
+            try:
+                with socket.create_connection(self.twin.place, 1):
+                    return
+            except OSError:
+                await asyncio.sleep(0.1)
+        raise CannotRunError(f"{self.name} does not listen")
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal."""
         self.record(self.name, f"gets {number.name}")
@@ -720,6 +730,8 @@
             self.hosts.append(host)
         for process in self.processes:
             process.start()
+        for process in self.processes:
+            await process.listens()
         self.log.add([host.entry() for host in (*self.hosts, *self.processes)], full=True)
         await self.log.start()
         for number in range(gateways):
