--- a/mintmast/signalling/hostconnection.py
+++ b/mintmast/signalling/hostconnection.py
@@ -21,7 +21,7 @@
 )
 
 if TYPE_CHECKING:
-    from mintmast.signalling.hosts import HostPool
+    from mintmast.signalling.hostpool import HostPool
 
 # µs without a received byte after which a health check is sent, and after which the check has failed. A host
 # that is cut off from the network sends nothing, and the platform requires its sessions to be released
--- a/tests/test_node_hard.py
+++ b/tests/test_node_hard.py
@@ -17,7 +17,8 @@
 from test_node import one_answer
 
 from mintmast.interface import Move
-from mintmast.signalling.hosts import CHECK_PERIOD_US, SPARE_IDLE_US
+from mintmast.signalling.hostpool import SPARE_IDLE_US
+from mintmast.signalling.hosts import CHECK_PERIOD_US
 from mintmast.signalling.messages import encode, encode_release
 
 
