A media host that stood still tells its sessions' ends: silent connections are kept

Cause: a connection whose health check stays unanswered for 1.5 s, or for the connect timeout of a set-up, was closed. A host that goes on writes the releases there before it reads the close, and repeats them on the first connection that waits to be accepted, which had been closed in the same way. Change: while sessions stand at the host such a connection is kept and read, and nothing is written to it until it is heard; another connection shows whether the host can be reached. The oldest of those that the host has not accepted yet is kept as well; a connection is closed once the host has answered elsewhere for 1.5 s. Releases on a connection that falls silent are repeated. The host's messages arrive because nothing that it may still write to is closed.

--- a/mintmast/signalling/hostconnection.py
+++ b/mintmast/signalling/hostconnection.py
@@ -57,6 +57,8 @@
         self.bytes_written = 0
         self.attempt: Attempt | None = None
         self.was_open = self.is_closing = False
+        self.was_heard = False  # the host has sent something, so it has accepted the connection
+        self.is_silent = False  # a health check is overdue; kept open for what the host may send
         self.is_stale = False  # connected to an address that the host has left
         now = pool.hosts.loop.now()
         self.created_at = self.last_received_at = self.last_used_at = now
@@ -67,10 +69,15 @@
         self._has_protocol_error = False
         self._abort_reason: CloseReason | None = None
 
+    @property
+    def is_usable(self) -> bool:
+        """Return whether messages may be written here: the host is connected and not known to be silent."""
+        return self.stream is not None and not (self.is_closing or self.is_stale or self.is_silent)
+
     @property
     def is_idle(self) -> bool:
         """Return whether the connection can carry a set-up at once, or be closed as spare."""
-        return self.stream is not None and self.attempt is None and not (self.is_closing or self.is_stale)
+        return self.is_usable and self.attempt is None
 
     def carry(self, attempt: Attempt) -> None:
         """Carry a set-up: it is written once a health check has passed."""
@@ -98,6 +105,17 @@
         """
         return [call_id for sent_at, call_id in self._recent_releases if sent_at >= self.last_received_at]
 
+    def keep_silent(self) -> None:
+        """Keep the connection for what the host may still send, but write nothing to it any more.
+
+        Releases that the host may not have received are repeated on another connection.
+        """
+        self.is_silent = True
+        releases = self.unconfirmed_releases()
+        self._recent_releases.clear()
+        for call_id in releases:
+            self.pool.release_session(call_id)
+
     def _send_health_check(self) -> None:
         if self.health_check_sent_at is None:
             self.health_check_sent_at = self.pool.hosts.loop.now()
@@ -108,9 +126,12 @@
         if self.stream is None:
             if now - self.created_at >= self.pool.hosts.limits.connect_timeout:
                 self.abort(CloseReason.UNREACHABLE)
+        elif self.is_silent:
+            if not self.pool.must_keep_silent(self):
+                self.abort(CloseReason.UNREACHABLE)
         elif self.health_check_sent_at is not None:
             if now - self.health_check_sent_at >= HEALTH_CHECK_TIMEOUT_US:
-                self.abort(CloseReason.UNREACHABLE)
+                self.pool.handle_silence(self)
         elif now - self.last_received_at >= HEALTH_CHECK_IDLE_US:
             self._send_health_check()
 
@@ -138,6 +159,10 @@
     def received(self, data: bytes) -> None:
         """Parse received bytes and process the messages; abort the connection on a protocol error."""
         self.last_received_at = self.pool.hosts.loop.now()
+        self.was_heard = True
+        if self.is_silent:
+            self.is_silent = False
+            self.pool.handle_heard_again()
         while self._recent_releases and self._recent_releases[0][0] < self.last_received_at:
             self._recent_releases.popleft()
         for message in self._reader.feed(data):
--- a/mintmast/signalling/hostpool.py
+++ b/mintmast/signalling/hostpool.py
@@ -12,7 +12,7 @@
 
 from mintmast.decisions.outcomes import Evidence
 from mintmast.loop import CloseReason, StreamLimits
-from mintmast.signalling.hostconnection import Attempt, HostConnection
+from mintmast.signalling.hostconnection import HEALTH_CHECK_TIMEOUT_US, Attempt, HostConnection
 from mintmast.signalling.messages import Cause, encode_release
 
 if TYPE_CHECKING:
@@ -38,6 +38,8 @@
         self.pending_releases: deque[bytes] = deque(maxlen=MAX_PENDING_RELEASES)
         self.connect_failures = 0
         self.is_replaced = False
+        # a connection was closed while the host was silent, which may write to it before it reads the close
+        self._closed_while_silent = False
         self._arrival_number = 0
         self.record_arrival()
 
@@ -101,13 +103,13 @@
         return connection
 
     def handle_connect_timeout(self, attempt: Attempt) -> None:
-        """End an attempt that got no working connection in time, and abort the connection it waited for."""
+        """End an attempt that got no working connection in time, and give up the one it waited for."""
         connection = attempt.connection
         if attempt.end_offset is None:
             self.end_attempt(attempt, Evidence.NOT_CONNECTED)
             if connection is not None:
                 connection.attempt = None
-                connection.abort(CloseReason.UNREACHABLE)
+                self.handle_silence(connection)
 
     def handle_deadline(self, attempt: Attempt) -> None:
         """End an attempt at its deadline."""
@@ -150,11 +152,7 @@
 
     def latest_connection(self) -> HostConnection | None:
         """Return the open connection that received last, if any."""
-        connections = [
-            connection
-            for connection in self.connections
-            if connection.stream is not None and not (connection.is_closing or connection.is_stale)
-        ]
+        connections = [connection for connection in self.connections if connection.is_usable]
         return max(connections, key=lambda connection: connection.last_received_at) if connections else None
 
     def release_session(self, call_id: bytes) -> None:
@@ -170,6 +168,9 @@
     def handle_opened(self, connection: HostConnection) -> None:
         """Send the queued releases on a new connection."""
         self.connect_failures = 0
+        self._send_pending_releases(connection)
+
+    def _send_pending_releases(self, connection: HostConnection) -> None:
         while self.pending_releases:
             connection.release_session(self.pending_releases.popleft())
 
@@ -180,9 +181,11 @@
             self.hosts.connections_in_use -= 1
         for call_id in connection.unconfirmed_releases():
             self.release_session(call_id)
+        if connection.was_open and not connection.is_stale and self._has_silent_connection():
+            self._closed_while_silent = True
         if connection.was_open and self._reopen_connection():
             return
-        if any(each.stream is not None for each in self.connections):
+        if any(each.stream is not None and not each.is_silent for each in self.connections):
             return
         if reason is CloseReason.EXHAUSTED or connection.is_stale:
             return  # no evidence about the host; the next periodic check reconnects
@@ -194,7 +197,7 @@
                 self._report_dead("unreachable")
         if (
             not self.is_replaced
-            and not self.connections
+            and not self._has_working_connection()
             and (self.pending_releases or self.hosts.events.has_sessions(self.host))
         ):
             self.connect()
@@ -214,6 +217,67 @@
             self.connect()
         return True
 
+    # Silent connections
+
+    def handle_silence(self, connection: HostConnection) -> None:
+        """Process a connection on which the host does not answer a health check.
+
+        A host that stands still, or is cut off for a while, may go on. The connection is kept for its
+        messages while sessions play there, and another one shows whether the host can be reached at all.
+        """
+        attempt = connection.attempt
+        was_sent = attempt is not None and attempt.end_offset is not None
+        if connection.stream is None or connection.is_closing or was_sent or not self._may_keep(connection):
+            connection.abort(CloseReason.UNREACHABLE)
+            return
+        connection.keep_silent()
+        if attempt is not None:
+            attempt.connection = connection.attempt = None
+            self.assign(attempt)
+        if not self._has_working_connection():
+            self._reopen_connection()
+
+    def must_keep_silent(self, connection: HostConnection) -> bool:
+        """Return whether a silent connection must stay open, as a host that goes on may write to it.
+
+        It need not once the host has answered on another connection for longer than a health check may take.
+        """
+        last_heard_at = max(
+            (each.last_received_at for each in self.connections if each.is_usable and each.was_heard),
+            default=connection.last_received_at,
+        )
+        answers_elsewhere = last_heard_at - connection.last_received_at > HEALTH_CHECK_TIMEOUT_US
+        return self._may_keep(connection) and not answers_elsewhere
+
+    def _may_keep(self, connection: HostConnection) -> bool:
+        """Return whether a connection that fell silent is worth its descriptor.
+
+        Of those that the host may not have accepted yet, only the oldest is: it is the one on which a host
+        that goes on repeats its releases.
+        """
+        if connection.is_stale or self.is_replaced or not self.hosts.events.has_sessions(self.host):
+            return False
+        if connection.was_heard:
+            return True
+        unheard = [each for each in self.connections if each.stream is not None and not each.was_heard]
+        return unheard[0] is connection
+
+    def handle_heard_again(self) -> None:
+        """Process the first message on a connection that was silent."""
+        connection = self.latest_connection()
+        if connection is not None:
+            self._send_pending_releases(connection)
+        if self._closed_while_silent:
+            self._closed_while_silent = False
+            self._reopen_connection()
+
+    def _has_silent_connection(self) -> bool:
+        return any(each.is_silent for each in self.connections)
+
+    def _has_working_connection(self) -> bool:
+        """Return whether a connection is open and not silent, or is being opened."""
+        return any(not each.is_silent for each in self.connections)
+
     def mark_replaced(self) -> None:
         """Report the host dead: another host has its address, so this one is not reachable there."""
         if not self.is_replaced:
@@ -247,7 +311,7 @@
         if not is_needed and len(self.connections) == 1 and idle:
             if self.left_list or now - idle[-1].last_used_at > self.hosts.limits.idle_timeout // 2:
                 idle[-1].close()
-        if is_needed and not self.connections:
+        if is_needed and not self._has_working_connection():
             if self.is_replaced:
                 self._report_dead("replaced")
             elif self.hosts.connections_in_use < self.hosts.limits.max_connections:
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -66,13 +66,15 @@
         self.node.listen(self.name, 5060, self.accept)
 
     def accept(self):
-        self.connections.append(Peer(self.handle_message))
+        peer = Peer(self.handle_message)
+        self.node.run_callback(self.handle_accepted, peer)  # deferred while the host is frozen
+        return peer
+
+    def handle_accepted(self, peer):
+        self.connections.append(peer)
         ends, self.unconfirmed_ends = self.unconfirmed_ends, []
         for call, cause in ends:
-            self.platform.world.at(
-                self.platform.now() + 1000, self.send_release, self.connections[-1], call, cause
-            )
-        return self.connections[-1]
+            self.platform.world.at(self.platform.now() + 1000, self.send_release, peer, call, cause)
 
     def send_release(self, connection, call, cause):
         connection.stream.write(encode_release(call, cause))
@@ -81,7 +83,9 @@
         """Release a session on the connection of its set-up, and again on the next connection that opens."""
         self.unconfirmed_ends.append((call, cause))
         own = self.connection_of[call]
-        self.send_release(own if own.closed_by is None else self.open_connections()[-1], call, cause)
+        connections = [own] if own.closed_by is None else self.open_connections()[-1:]
+        for connection in connections:
+            self.send_release(connection, call, cause)
 
     def handle_message(self, end, message):
         if message.kind == MessageKind.HEALTH_CHECK:
