Viewers' messages are processed in turn, a bounded number in each turn of the loop

What callers saw: while others sent health checks, releases or set-ups at full speed, a viewer with ten paid set-ups a second waited 93 ms (one such connection), 4.3 s (250, 9.8 s at the longest) or got no answer (500: 106 of 112 unanswered); its set-ups were refused for memory beside 200 senders of set-ups (83 of 115). The process grew to 40 MB of 32 with 500 connections that did not read. Process of 64 MB and 512, or 32 MB and 1,024 descriptors, 8 s, loopback. Cause: each turn processed all that each connection had sent, 32 KB, and what viewers did not take was bounded for each connection only (128 KB). Change: RoundRobin runs 16 steps of four messages a turn over all connections, one with new work first; a connection with messages left is not read, so that TCP slows its sender down; nothing is processed for a viewer that does not take its answers, which is closed after 2 s. Buffered data of all viewers has an eighth of the memory limit. Queued set-ups are not submitted while bytes of their viewer are unread, are refused after half of their time, and give way to viewers with less than an equal share of the memory. DeliveryTracker and ReceiveBuffer leave viewerconnection.py.

--- a/mintmast/signalling/messages.py
+++ b/mintmast/signalling/messages.py
@@ -127,39 +127,55 @@
 class MessageReader:
     """Incremental decoder for one connection; `is_broken` once the framing is lost."""
 
-    __slots__ = ("_buffer", "is_broken")
+    __slots__ = ("_buffer", "_offset", "is_broken")
 
     def __init__(self) -> None:
         self._buffer = b""
+        self._offset = 0  # of the first byte that is not decoded yet
         self.is_broken = False
 
-    @property
-    def has_partial(self) -> bool:
-        """Return whether an incomplete message is buffered."""
-        return bool(self._buffer)
+    def __len__(self) -> int:
+        """Return the number of bytes that are not decoded yet."""
+        return len(self._buffer) - self._offset
 
-    def feed(self, data: bytes) -> list[Message]:
-        """Decode received bytes and return the messages that they complete.
+    def append(self, data: bytes) -> None:
+        """Buffer received bytes for `next_message`."""
+        if not self.is_broken:
+            rest = self._buffer[self._offset :]
+            self._buffer, self._offset = rest + data if rest else data, 0
+
+    def next_message(self) -> Message | None:
+        """Decode the next message; return None if it is not complete or the framing is lost.
 
-        Never buffers more than one message of the largest length, whatever length a peer announces. An
-        invalid length or type is detected as soon as its bytes arrive.
+        Once it has returned None, less than one message of the largest length is buffered, whatever length a
+        peer announces. An invalid length or type is detected as soon as its bytes are decoded.
         """
-        if self.is_broken:
-            return []
-        data = self._buffer + data if self._buffer else data
-        offset, end, messages = 0, len(data), []
-        while end - offset >= 2:
+        data, offset = self._buffer, self._offset
+        available = len(data) - offset
+        if available >= 2:
             size = data[offset] << 8 | data[offset + 1]
             if not _MIN_LENGTH <= size <= MAX_MESSAGE_BYTES or (
-                end - offset > 2 and data[offset + 2] not in _KINDS
+                available > 2 and data[offset + 2] not in _KINDS
             ):
                 self.is_broken = True
-                break
-            if end - offset < size + 2:
-                break
-            messages.append(_parse_message(data, offset, offset + 2 + size))
-            offset += 2 + size
-        self._buffer = b"" if self.is_broken else data[offset:]
+                self.clear()
+                return None
+            if available >= size + 2:
+                self._offset = offset + 2 + size
+                return _parse_message(data, offset, self._offset)
+        self._buffer, self._offset = data[offset:], 0
+        return None
+
+    def clear(self) -> None:
+        """Drop the buffered bytes."""
+        self._buffer, self._offset = b"", 0
+
+    def feed(self, data: bytes) -> list[Message]:
+        """Decode received bytes and return the messages that they complete."""
+        self.append(data)
+        messages = []
+        while self._offset < len(self._buffer) and (message := self.next_message()) is not None:
+            messages.append(message)
         return messages
 
 
--- a/mintmast/signalling/node.py
+++ b/mintmast/signalling/node.py
@@ -29,6 +29,7 @@
 from mintmast.signalling.messages import Cause, MessageKind, Param, encode, encode_release
 from mintmast.signalling.set_up_parser import US_PER_MS, ParsedSetUp, RequestSchema, parse_number
 from mintmast.signalling.shutdown import Shutdown
+from mintmast.signalling.viewerconnection import SHUTDOWN_REASON
 from mintmast.signalling.viewers import STREAM_LIMITS, Viewers
 from mintmast.telemetry.lines import LogFunction
 
@@ -56,6 +57,8 @@
 VIEWER_SOCKET_SHARE, RESERVED_SOCKETS = 0.5, 24
 # share of the memory limit for set-ups in progress: the program itself takes 11 MB, the smallest limit is 32
 SET_UP_MEMORY_SHARE = 0.25
+# share of the memory limit for data of viewers that is not processed yet, or that they do not take
+BUFFER_MEMORY_SHARE = 0.125
 
 
 class Node:
@@ -76,14 +79,15 @@
         viewer_sockets = int(config.limits.sockets * VIEWER_SOCKET_SHARE)
         host_sockets = max(1, config.limits.sockets - viewer_sockets - RESERVED_SOCKETS)
         caps = adapter_settings.caps
-        max_bytes = int(config.limits.memory_mb * (1 << 20) * SET_UP_MEMORY_SHARE)
+        memory = config.limits.memory_mb * (1 << 20)
+        max_bytes, max_buffered = int(memory * SET_UP_MEMORY_SHARE), int(memory * BUFFER_MEMORY_SHARE)
         self.hosts = MediaHosts(loop, self, HostLimits(caps.connect_timeout, caps.idle_close, host_sockets))
         schema = RequestSchema(
             {each.name.encode(): index for index, each in enumerate(adapter_settings.services)},
             tuple(each.deadline for each in settings.classes),
             {each.name.encode(): index for index, each in enumerate(adapter_settings.accounts)},
         )
-        self.viewers = Viewers(loop, self, schema, viewer_sockets, max_bytes, log)
+        self.viewers = Viewers(loop, self, schema, viewer_sockets, max_bytes, max_buffered, log)
         self._execute(self.calls.start(loop.now()))
         self.changelog = ChangeLog(loop, parse_address(config.changelog), 0, self._handle_list_event, log)
         self._apply_known(config)
@@ -200,7 +204,7 @@
             target_time = self.settings.classes[request.service].target_time
             budget = self._shutdown.plan.time_for_request(received_at, request.budget, target_time)
             if budget is None:
-                self.viewers.refuse_for_shutdown(viewer, request.call_id)
+                self.viewers.refuse(viewer, request.call_id, SHUTDOWN_REASON)
                 return
             request = replace(request, budget=budget)
         self._execute(self.calls.handle_request(self.loop.now(), request, viewer, received_at))
--- a/mintmast/signalling/viewers.py
+++ b/mintmast/signalling/viewers.py
@@ -6,17 +6,23 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from mintmast.loop import Handler, Loop, StreamLimits, Timer
+from mintmast.loop import Handler, Loop, StreamLimits
+from mintmast.loop.round_robin import RoundRobin
+from mintmast.signalling.delivery import UnconfirmedMessage
 from mintmast.signalling.messages import Cause, MessageKind, Param, encode, encode_release
+from mintmast.signalling.receive_buffer import READ_SIZE_BYTES
 from mintmast.signalling.set_up_parser import ParsedSetUp, RequestSchema
-from mintmast.signalling.viewerconnection import MESSAGE_TIMEOUT_US, UnconfirmedMessage, ViewerConnection
+from mintmast.signalling.viewerconnection import MESSAGE_TIMEOUT_US, ViewerConnection
 from mintmast.telemetry.lines import LogFunction
 
 # µs between checks of all connections
 CHECK_PERIOD_US = 250_000
-# bytes that may be queued for a viewer, and bytes of one read: a read holds some hundred set-ups, which are
-# only parsed at that point, in less than 10 ms
-STREAM_LIMITS = StreamLimits(max_unsent=1 << 17, read_size=1 << 15)
+# a viewer that does not take its answers is not read any further once `drained_below` bytes are queued for it
+STREAM_LIMITS = StreamLimits(max_unsent=1 << 17, drained_below=1 << 13, read_size=READ_SIZE_BYTES)
+# share of the memory for all set-ups in progress that one connection may use
+MAX_CONNECTION_SHARE = 0.5
+# steps, of some messages each, in which the viewers' messages are processed in one turn of the loop
+INPUT_STEPS_PER_TURN = 16
 # set-ups that go to the controller in one turn of the loop, at up to 1 ms each. Received data is read between
 # two turns, so that a disconnect or a cancellation is known before more set-ups of that viewer are sent.
 SET_UPS_PER_TURN = 8
@@ -61,6 +67,7 @@
         schema: RequestSchema,
         max_connections: int,
         max_bytes: int,
+        max_buffered_bytes: int,
         log: LogFunction,
     ) -> None:
         self.loop, self.events, self.schema, self.log = loop, events, schema, log
@@ -69,24 +76,33 @@
         self._last_number = 0
         self._session_peers: dict[bytes, str] = {}  # peer address of each session whose connection was closed
         self._pending_notices: deque[_PendingNotice] = deque(maxlen=MAX_PENDING_NOTICES)
-        # connections with set-ups that are not yet passed to the controller
-        self._submit_queue: deque[ViewerConnection] = deque()
-        self._submit_timer: Timer | None = None
+        # bytes that were received and not decoded, or written to viewers that do not take them
+        self.max_buffered_bytes, self.buffered_bytes = max_buffered_bytes, 0
+        # connections whose messages are not processed yet, and those whose set-ups are not yet passed to the
+        # controller: in turn, so that a flood on one delays no other
+        self.input = RoundRobin(loop, INPUT_STEPS_PER_TURN)
+        self.submissions = RoundRobin(loop, SET_UPS_PER_TURN)
         loop.call_at(loop.now() + CHECK_PERIOD_US, self._check_connections)
 
     def accept(self) -> Handler:
         """Create the handler of a new connection."""
         self._last_number += 1
         connection = ViewerConnection(self, self._last_number)
-        connection.is_closing = (
-            len(self.connections) >= self.max_connections and not self._close_idle_connection()
-        )
+        connection.is_closing = self._is_full() and not self._close_idle_connection()
         self.connections[self._last_number] = connection
         return connection
 
+    def _is_full(self) -> bool:
+        """Return whether no further connection is allowed."""
+        if len(self.connections) < self.max_connections:
+            return False
+        return sum(not each.has_left for each in self.connections.values()) >= self.max_connections
+
     def _close_idle_connection(self) -> bool:
         """Close the longest idle connection without set-ups and sessions; return False if there is none.
 
+        One whose viewer does not take its answers goes before those that are idle.
+
         Connections with sessions are exempt even if no set-up is open on them: otherwise peers with hundreds
         of connections, each with an open set-up, could displace one with sessions, whose ends could then not
         be reported.
@@ -94,6 +110,10 @@
         connections = [
             e for e in self.connections.values() if not (e.is_closing or e.open_set_ups or e.sessions)
         ]
+        for connection in sorted(connections, key=lambda e: (e.is_verified, e.last_received_at)):
+            if connection.is_blocked and not connection.had_session:
+                connection.abort("it does not take the queued data, and the limit is reached")
+                return True
         for connection in sorted(connections, key=lambda e: (e.is_verified, e.last_received_at)):
             if not connection.has_unread():  # unread data may hold a set-up, which a close would lose
                 self.log("viewer closed", peer=connection.peer, why="idle, and the limit is reached")
@@ -101,29 +121,38 @@
                 return True
         return False
 
-    # Set-ups
-
-    def queue(self, connection: ViewerConnection) -> None:
-        """Queue a connection whose set-ups are to be submitted once all received data is read."""
-        if connection not in self._submit_queue:
-            self._submit_queue.append(connection)
-        if self._submit_timer is None:
-            self._submit_timer = self.loop.call_soon(self._submit_some)
-
-    def _submit_some(self) -> None:
-        """Submit a few set-ups, round robin over the connections, so that a flood on one delays no other."""
-        # the next turn, after more received data is read; set first, as an exception must not stop the others
-        self._submit_timer = self.loop.call_at(self.loop.now() + 1, self._submit_some)
-        for _ in range(SET_UPS_PER_TURN):
-            while self._submit_queue and not self._submit_queue[0].queued_set_ups:
-                self._submit_queue.popleft()
-            if not self._submit_queue:
-                self._submit_timer.cancel()
-                self._submit_timer = None
+    def record_buffered(self, change: int) -> None:
+        """Record by how many bytes the data buffered for a connection has grown.
+
+        Over the limit the connections with the most of it are aborted, those that had no session first, until
+        an eighth of it is free again.
+        """
+        self.buffered_bytes += change
+        if change <= 0 or self.buffered_bytes <= self.max_buffered_bytes:
+            return
+        candidates = [each for each in self.connections.values() if each.buffered]
+        candidates.sort(key=lambda each: (not each.had_session, each.buffered))
+        while candidates and self.buffered_bytes > self.max_buffered_bytes * 7 // 8:
+            candidates.pop().abort("no memory for more buffered data")
+
+    def may_hold(self, held: int, size: int) -> bool:
+        """Return whether a connection that holds `held` bytes of set-ups may hold `size` more.
+
+        One with less than an equal share gets them at the cost of queued set-ups of the one with the most.
+        """
+        if held + size > self.max_bytes * MAX_CONNECTION_SHARE:
+            return False
+        if self.bytes_held + size > self.max_bytes and held + size <= self.max_bytes / len(self.connections):
+            self._refuse_queued_for(size)
+        return self.bytes_held + size <= self.max_bytes
+
+    def _refuse_queued_for(self, size: int) -> None:
+        """Refuse queued set-ups, of the connection that holds the most, until `size` more bytes are free."""
+        while self.bytes_held + size > self.max_bytes:
+            queued = [each for each in self.connections.values() if each.queued_set_ups]
+            if not queued:
                 return
-            connection = self._submit_queue.popleft()
-            self._submit_queue.append(connection)
-            connection.submit_next()
+            max(queued, key=lambda each: each.bytes_held).refuse_newest()
 
     # Answers
 
@@ -159,9 +188,9 @@
         if connection is not None and connection.close_set_up(call_id):
             connection.write(encode_release(call_id, cause, retry_after_ms))
 
-    def refuse_for_shutdown(self, viewer: int, call_id: bytes) -> None:
-        """Refuse a set-up without an attempt, as the gateway is shutting down."""
-        self.log("refused", call=call_id.hex(), why="the gateway is shutting down")
+    def refuse(self, viewer: int, call_id: bytes, reason: str) -> None:
+        """Refuse a set-up without an attempt; `reason` is logged."""
+        self.log("refused", call=call_id.hex(), why=reason)
         self.reject(viewer, call_id, Cause.SWITCHING_EQUIPMENT_CONGESTION)
 
     def end_session(self, viewer: int, call_id: bytes, frame: bytes) -> None:
@@ -196,7 +225,8 @@
         If an answer was not delivered, the viewer is gone and its session is ended. An undelivered session
         end is sent on another connection.
         """
-        self.connections.pop(connection.number, None)
+        if self.connections.pop(connection.number, None) is None:
+            return
         for message in undelivered:
             if message.is_session_end:
                 self._send_elsewhere(connection.peer, message.call_id, message.frame)
@@ -262,9 +292,12 @@
         now = self.loop.now()
         self.loop.call_at(now + CHECK_PERIOD_US, self._check_connections)
         for connection in list(self.connections.values()):
+            if connection.is_stuck(now):
+                connection.abort("it does not take the queued data")
             if connection.is_closing:
-                connection.abort_if_stuck(now)
                 continue
+            if connection.is_behind:
+                connection.refuse_overdue(now)
             is_late = (
                 connection.partial_since is not None and now - connection.partial_since > MESSAGE_TIMEOUT_US
             )
