Small writes that wait for the network are joined

Cause: SocketStream queued an object for each write, some 60 bytes for an answer of 16. Change: writes of under 4 KB are joined while they wait.

--- a/mintmast/loop/sockets.py
+++ b/mintmast/loop/sockets.py
@@ -21,6 +21,8 @@
 _ACCEPT_RETRY_US = 50_000
 # accepts of one listener per iteration: enough to handle a burst soon, few enough to let others run
 _ACCEPTS_PER_TURN = 64
+# bytes up to which queued writes are joined
+_JOINED_BYTES = 4096
 # datagrams of one socket per iteration, and maximum bytes of one: longer ones are truncated and then rejected
 _DATAGRAMS_PER_TURN, _MAX_DATAGRAM_BYTES = 64, 2048
 
@@ -159,7 +161,7 @@
         self._loop, self._sock, self._handler, self._limits = loop, sock, handler, limits
         self.peer = peer
         self.bytes_sent = 0
-        self._output: deque[bytes | memoryview] = deque()
+        self._output: deque[bytes | bytearray | memoryview] = deque()
         self._unsent = 0
         self._backlog = self._paused = self._closing = self._finishing = self._is_closed = False
         self._connecting = connecting
@@ -190,8 +192,7 @@
             if sent == len(data) or self._is_closed:
                 return True
             data = memoryview(data)[sent:]
-        self._output.append(data)
-        self._unsent += len(data)
+        self._queue(data)
         if self._unsent > self._limits.max_unsent:
             self._loop.call_soon(self.end, CloseReason.OVERFLOW)
             return False
@@ -199,7 +200,16 @@
         self.watch()
         return not self._backlog
 
-    def _send(self, data: bytes | memoryview) -> int:
+    def _queue(self, data: bytes | memoryview) -> None:
+        """Queue bytes, small ones joined: an object for each would take several times their memory."""
+        self._unsent += len(data)
+        last = self._output[-1] if self._output else None
+        if isinstance(last, bytearray) and len(last) < _JOINED_BYTES:
+            last += data
+        else:
+            self._output.append(bytearray(data) if len(data) < _JOINED_BYTES else data)
+
+    def _send(self, data: bytes | bytearray | memoryview) -> int:
         try:
             sent = self._sock.send(data)
         except (BlockingIOError, InterruptedError):
--- a/tests/test_hostile_viewers.py
+++ b/tests/test_hostile_viewers.py
@@ -7,6 +7,7 @@
 from test_crossings_sockets import Bench, call_id_of
 from test_node import one_answer
 
+from mintmast.loop import StreamLimits
 from mintmast.loop.round_robin import RoundRobin
 from mintmast.signalling.messages import Cause, encode_health_check, encode_release
 from mintmast.signalling.viewerconnection import MESSAGES_PER_STEP
@@ -171,6 +172,29 @@
     assert not platform.hosts["a"].set_ups
 
 
+def test_small_writes_that_wait_for_the_network_are_joined():
+    # an object for each takes several times the memory of its bytes
+    bench = Bench()
+    ours, theirs = socket.socketpair()
+    limits = StreamLimits(max_unsent=1 << 20)
+    stream = bench.loop.adopt(ours, type("Quiet", (), {"opened": print, "closed": print})(), limits)
+    expected = b""
+    while stream._unsent < 50_000:
+        data = len(expected).to_bytes(16)
+        expected += data
+        stream.write(data)
+    assert len(stream._output) < 50
+    theirs.setblocking(False)
+    found = b""
+    while len(found) < len(expected):
+        bench.turn()
+        try:
+            found += theirs.recv(1 << 16)
+        except BlockingIOError:
+            pass
+    assert found == expected
+
+
 class Turns:
     """A loop of which only the turns are wanted."""
 
