A paid call that may have run fails when its viewer left and it comes again

Cause: calls that are over were not remembered, and a host may set up an attempt before it hears of its cancel. Whether the attempt in progress was written is passed on when its viewer leaves, so that one that never ran is served.

--- a/mintmast/decisions/calls/calls.py
+++ b/mintmast/decisions/calls/calls.py
@@ -14,6 +14,7 @@
 
 from mintmast import interface as api
 from mintmast.decide import Controller
+from mintmast.decisions.calls.past_calls import PastCalls
 from mintmast.decisions.outcomes import OUTCOME_TABLE as OUTCOMES
 from mintmast.decisions.outcomes import Evidence
 from mintmast.interface import NoteKind, Outcome
@@ -252,7 +253,9 @@
     attempt: int = -1
     rung: int = 0
     evidence: Evidence | None = None  # of the last attempt that ended
+    service: int = 0
     may_have_run: bool = False  # an attempt that ended may have run
+    may_be_running: bool = False  # an attempt is in progress, or the session plays
     attempt_sent_at: int = 0
     established_at: int = 0
 
@@ -280,6 +283,7 @@
     by_id: dict[bytes, Call] = field(default_factory=dict)
     _by_number: dict[int, Call] = field(default_factory=dict)
     _by_host: dict[bytes, dict[int, Call]] = field(default_factory=dict)
+    _past: PastCalls = field(default_factory=PastCalls)
     _last_number: int = 0
     _out: list[Command] = field(default_factory=list)
 
@@ -290,8 +294,11 @@
     ) -> list[Command]:
         """Pass a new set-up to the controller. Its time budget starts at `received_at`, or now if None.
 
-        Raises ValueError if its call reference is in use.
+        A paid one fails if an earlier one with its call reference may have run. Raises ValueError if its call
+        reference is in use.
         """
+        if self._past.may_have_run(now, request.call_id):
+            return [FailRequest(request.call_id, viewer, 0, None)]
         elapsed = now - received_at if received_at is not None else 0
         call = self._create(now - elapsed, request, viewer)
         call.forwarded = request.forwarded
@@ -314,6 +321,7 @@
         """Adopt a session that is already playing at `host`. Raises ValueError if its id is in use."""
         call = self._create(now, request, viewer)
         call.state, call.host, call.attempt, call.established_at = CallState.ESTABLISHED, host, 0, now
+        call.may_be_running = True
         self._by_host.setdefault(host, {})[call.number] = call
         event = api.SessionOpen(
             call.number,
@@ -326,14 +334,17 @@
         )
         return self._dispatch(now, event)
 
-    def handle_viewer_left(self, now: int, call_id: bytes) -> list[Command]:
-        """Cancel the set-up or end the session: the viewer no longer waits or watches."""
+    def handle_viewer_left(self, now: int, call_id: bytes, is_unsent: bool = False) -> list[Command]:
+        """Cancel the set-up or end the session: the viewer no longer waits or watches.
+
+        `is_unsent` tells that nothing of the attempt in progress was written.
+        """
         call = self.by_id.get(call_id)
-        return (
-            self._apply(now, call, _Observation(CallEvent.VIEWER_LEFT, Outcome.CANCELLED))
-            if call is not None
-            else []
-        )
+        if call is None:
+            return []
+        if is_unsent:
+            call.may_be_running = False
+        return self._apply(now, call, _Observation(CallEvent.VIEWER_LEFT, Outcome.CANCELLED))
 
     def attempts_in_progress(self) -> list[tuple[bytes, bytes]]:
         """Return the call reference and the host of each unanswered request."""
@@ -352,7 +363,7 @@
             answer = FailRequest(call.id, call.viewer, call.attempts, Evidence.CALLED_OFF)
         else:
             answer = RefuseRequest(call.id, call.viewer, 0, call.attempts, Evidence.CALLED_OFF_UNSENT)
-        return [answer, *self.handle_viewer_left(now, call_id)]
+        return [answer, *self.handle_viewer_left(now, call_id, is_unsent=not may_have_arrived)]
 
     # Hosts
 
@@ -375,6 +386,7 @@
             return []
         call.evidence = evidence
         call.may_have_run = call.may_have_run or not OUTCOMES[evidence].never_ran
+        call.may_be_running = False
         return self._apply(now, call, _Observation(CallEvent.ATTEMPT_ENDED, outcome, load))
 
     def handle_session_end(
@@ -436,7 +448,9 @@
         if request.call_id in self.by_id:
             raise ValueError(f"call reference {request.call_id.hex()} is already in use")
         self._last_number += 1
-        call = Call(request.call_id, self._last_number, viewer, now + request.budget, now)
+        call = Call(
+            request.call_id, self._last_number, viewer, now + request.budget, now, service=request.service
+        )
         self.by_id[call.id] = self._by_number[call.number] = call
         return call
 
@@ -466,7 +480,7 @@
         elif transition.next_state is not CallState.CANCELLING:
             self._detach_from_host(call)
         if transition.next_state is None:
-            self._remove(call)
+            self._remove(now, call)
         return commands + self._dispatch(now, event)
 
     def _make_event(
@@ -491,7 +505,10 @@
         ):
             del self._by_host[call.host]
 
-    def _remove(self, call: Call) -> None:
+    def _remove(self, now: int, call: Call) -> None:
+        is_repeatable = self.controller.settings.classes[call.service].effect is api.Effect.FREE
+        if not is_repeatable and (call.may_have_run or call.may_be_running):
+            self._past.record(now, call.id)
         self._detach_from_host(call)
         self.by_id.pop(call.id, None)
         self._by_number.pop(call.number, None)
@@ -527,16 +544,17 @@
         elif isinstance(action, api.SetUp):
             call.state, call.host, call.attempt_sent_at = CallState.ATTEMPTING, action.server, now
             call.attempt += 1
+            call.may_be_running = True
             self._by_host.setdefault(call.host, {})[call.number] = call
             deadline = min(action.timeout_at or call.deadline, call.deadline)
             commands.append(SendSetUp(call.id, call.host, call.attempt, call.rung, deadline, call.forwarded))
         elif isinstance(action, api.Refuse):
-            self._remove(call)
+            self._remove(now, call)
             commands.append(
                 RefuseRequest(call.id, call.viewer, action.retry_after, call.attempts, call.evidence)
             )
         elif isinstance(action, api.Fail):
-            self._remove(call)
+            self._remove(now, call)
             commands.append(FailRequest(call.id, call.viewer, call.attempts, call.evidence))
         elif isinstance(action, api.Cancel):
             if call.state is CallState.CANCELLING and action.attempt == call.attempt:
@@ -549,7 +567,7 @@
                         _Observation(CallEvent.VIEWER_LEFT, Outcome.CANCELLED),
                     )
                 )
-                self._remove(call)
+                self._remove(now, call)
         elif isinstance(action, api.Move) and call.state is CallState.ESTABLISHED:
             commands += (MoveViewer(call.id, call.viewer), ReleaseToHost(call.id, call.host))
             events.append(
@@ -560,4 +578,4 @@
                     _Observation(CallEvent.SESSION_ENDED, Outcome.CANCELLED),
                 )
             )
-            self._remove(call)
+            self._remove(now, call)
--- a/mintmast/signalling/node.py
+++ b/mintmast/signalling/node.py
@@ -225,8 +225,8 @@
             self._early_ends.record_viewer_end(self.loop.now(), call_id)
         if known is None:
             return
-        now = self.loop.now()
-        self._execute(self.calls.handle_viewer_left(now, call_id))
+        is_unsent = self.hosts.is_unsent(known.host, call_id)
+        self._execute(self.calls.handle_viewer_left(self.loop.now(), call_id, is_unsent))
         self.viewers.forget_session(known.viewer, call_id)
         self._withdraw_unsent(known.host, call_id)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -17,6 +17,8 @@
 )
 from test_node import one_answer
 
+from mintmast.decisions.calls import past_calls
+from mintmast.decisions.calls.past_calls import PastCalls
 from mintmast.loop.base import CloseReason
 from mintmast.signalling.messages import encode, encode_release
 
@@ -384,3 +386,69 @@
     call = platform.send_set_up(end, placement="home:0;copies:1;top:2")
     platform.run(0.1)
     assert one_answer(end, call).kind == MessageKind.ANSWER and platform.node.hosts.connections_in_use <= 4
+
+
+# A call reference that comes again
+
+
+def left_call(how, script, service="paid"):
+    """Return a platform, and a call whose viewer has left after its set-up was sent to a host."""
+    platform = Platform("a", "b", script=script)
+    end = platform.viewer()
+    call = platform.send_set_up(end, service)
+    platform.run(0.05)
+    assert sum(len(host.set_ups) for host in platform.hosts.values()) == 1
+    if how == "cancels":
+        end.stream.write(encode_release(call, Cause.NORMAL_CLEARING))
+    else:
+        end.stream.close() if how == "closes" else end.stream.abort()
+    platform.run(0.5)
+    return platform, call
+
+
+@pytest.mark.parametrize("script", [silent, play])
+@pytest.mark.parametrize("how", ["closes", "resets", "cancels"])
+def test_a_paid_call_that_may_have_run_fails_when_it_comes_again(how, script):
+    # a client that left and sent its set-ups once more had some of them set up twice
+    platform, call = left_call(how, script)
+    if script is play and how != "cancels":  # answered: the session belongs to no connection
+        platform.node.handle_viewer_left(call)
+    again = platform.viewer()
+    again.stream.write(set_up(call, "paid"))
+    platform.run(3.5)
+    assert one_answer(again, call).cause == Cause.TEMPORARY_FAILURE
+    assert sum(len(host.set_ups) for host in platform.hosts.values()) == 1
+
+
+def test_a_call_that_never_ran_or_may_run_twice_is_served_when_it_comes_again():
+    platform = Platform("a", "b")
+    for name in "ab":
+        platform.world.extra_delays["gw", name] = 100 * MS
+    end = platform.viewer()
+    unsent = platform.send_set_up(end, "paid")
+    platform.run(0.05)
+    end.stream.close()
+    platform.run(1)
+    again = platform.viewer()
+    again.stream.write(set_up(unsent, "paid"))
+    platform.run(1)
+    assert one_answer(again, unsent).kind == MessageKind.ANSWER
+    platform, free = left_call("closes", silent, "free")
+    for host in platform.hosts.values():
+        host.script = play
+    again = platform.viewer()
+    again.stream.write(set_up(free, "free"))
+    platform.run(1)
+    assert one_answer(again, free).kind == MessageKind.ANSWER
+
+
+def test_past_calls_are_bounded_and_expire():
+    past = PastCalls()
+    for number in range(past_calls.MAX_PAST_CALLS + 10):
+        past.record(number, number.to_bytes(8))
+    assert len(past) == past_calls.MAX_PAST_CALLS
+    assert not past.may_have_run(past_calls.MAX_PAST_CALLS, (9).to_bytes(8))
+    assert past.may_have_run(past_calls.MAX_PAST_CALLS, (10).to_bytes(8))
+    assert not past.may_have_run(10 + past_calls.PAST_CALL_TTL_US, (10).to_bytes(8))
+    past.record(3 * past_calls.PAST_CALL_TTL_US, b"a new on")
+    assert len(past) == 1
