Test: a process at the address of a host that has gone is not taken for it once listed

Change: a test only, with paid traffic, a host that dies or stands still and dies, and a list that tells of it 0.05 to 3 s later.

--- a/tests/test_silent_hosts.py
+++ b/tests/test_silent_hosts.py
@@ -1,7 +1,7 @@
 """Media hosts that stand still or fall silent while sessions play there, on an in-memory network."""
 
 import pytest
-from platform_world import Cause, MessageKind, Platform, play, silent
+from platform_world import Cause, Host, MessageKind, Platform, host_entry, list_event, play, silent
 
 # s: the platform requires a session's end to be released to its viewer within 1 s of the host's release
 RELEASE_BOUND_S = 1
@@ -133,3 +133,43 @@
     platform.run(0.2)
     assert end.messages_for(call, MessageKind.ANSWER)
     assert len(host.connections) == accepted
+
+
+@pytest.mark.parametrize("told_after_s", [0.05, 0.5, 3])
+@pytest.mark.parametrize("ends_by", ["death", "standing still and death"])
+def test_a_process_at_the_address_of_one_that_has_gone_is_not_taken_for_it_once_it_is_listed(
+    told_after_s, ends_by
+):
+    # paid set-ups ran twice, sessions were left standing, or went on being sent under the old host's id
+    platform = Platform("a", "b")
+    end, old = platform.viewer(), platform.hosts["a"]
+    calls = []
+
+    def send_for(seconds):
+        for _ in range(int(seconds * 50)):
+            calls.append(platform.send_set_up(end, "paid", ms=1000))
+            platform.run(0.02)
+
+    send_for(0.5)
+    if ends_by != "death":
+        old.node.freeze()
+        send_for(3)
+    old.node.kill()
+    new = Host(platform, "a")
+    send_for(told_after_s)
+    entries = [host_entry("a", "Gone"), host_entry("n", addr="a:5060")]
+    platform.node.changelog.handle_event(list_event(2, *entries))
+    told_at = platform.now()
+    platform.run(RELEASE_BOUND_S)
+    assert not platform.node.calls.has_session_at(b"id-a")
+    send_for(0.5)
+    platform.run(3)
+    assert b"id-a" not in platform.node.hosts.pools
+    hosts = (old, new, platform.hosts["b"])
+    for call in calls:
+        answers = end.messages_for(call)
+        assert answers[0].kind in (MessageKind.ANSWER, MessageKind.RELEASE)
+        assert sum(message.call_id == call for host in hosts for _, message in host.set_ups) <= 1
+    known = {call.id: call.host for call in platform.node.calls.by_id.values()}
+    after = [message.call_id for at, message in new.set_ups if at > told_at]
+    assert after and all(known[call] == b"id-n" for call in after)
