--- a/benchmarks/platform.py
+++ b/benchmarks/platform.py
@@ -13,7 +13,7 @@
 
 from mintmast import interface as api
 from mintmast.decide import Controller
-from mintmast.decisions.calls import calls as c
+from mintmast.decisions.calls import commands as c
 from mintmast.decisions.calls.calls import Calls
 from mintmast.signalling import set_up_parser
 from mintmast.signalling.messages import MessageKind, MessageReader, Param, encode, encode_release
--- a/mintmast/signalling/node.py
+++ b/mintmast/signalling/node.py
@@ -11,7 +11,7 @@
 from mintmast import interface as api
 from mintmast import wire
 from mintmast.decide import Controller
-from mintmast.decisions.calls import calls as cmd
+from mintmast.decisions.calls import commands as cmd
 from mintmast.decisions.calls.calls import Calls, CallState
 from mintmast.decisions.calls.early_ends import EarlyEnds
 from mintmast.decisions.calls.shutdown import ShutdownPlan
--- a/mintmast/signalling/set_up_parser.py
+++ b/mintmast/signalling/set_up_parser.py
@@ -6,7 +6,7 @@
 import re
 from dataclasses import dataclass
 
-from mintmast.decisions.calls.calls import ViewerRequest
+from mintmast.decisions.calls.commands import ViewerRequest
 from mintmast.signalling.messages import MAX_MESSAGE_BYTES, Cause, Message, Param
 
 US_PER_MS = 1000
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from mintmast import interface as api
-from mintmast.decisions.calls import calls as c
+from mintmast.decisions.calls import commands as c
 from mintmast.decisions.calls.calls import (
     TRANSITIONS,
     CallEvent,
@@ -13,8 +13,8 @@
     CallState,
     ControllerEvent,
     OutgoingMessage,
-    ViewerRequest,
 )
+from mintmast.decisions.calls.commands import ViewerRequest
 from mintmast.decisions.outcomes import OUTCOME_TABLE as OUTCOMES
 from mintmast.decisions.outcomes import Evidence
 from mintmast.interface import NoteKind, Outcome, ServerState
