A silent connection to a host gives up its place when no other could show that it is reached

At the limit of connections a host that was cut off was never found dead, and its sessions not released, since the silent connection that is now kept held the only place. Change: a connection that falls silent is kept only beside another that works, or where one more is allowed. Measured: the new test failed before; 212 tests of the node, its crossings and silent hosts pass.

--- a/mintmast/signalling/hostpool.py
+++ b/mintmast/signalling/hostpool.py
@@ -227,7 +227,8 @@
         """
         attempt = connection.attempt
         was_sent = attempt is not None and attempt.end_offset is not None
-        if connection.stream is None or connection.is_closing or was_sent or not self._may_keep(connection):
+        is_open = connection.stream is not None and not connection.is_closing
+        if not is_open or was_sent or not self._may_keep(connection) or not self._may_probe(connection):
             connection.abort(CloseReason.UNREACHABLE)
             return
         connection.keep_silent()
@@ -262,6 +263,11 @@
         unheard = [each for each in self.connections if each.stream is not None and not each.was_heard]
         return unheard[0] is connection
 
+    def _may_probe(self, silent: HostConnection) -> bool:
+        """Return whether another connection than a silent one can show that the host is reached."""
+        has_other = any(each is not silent and not each.is_silent for each in self.connections)
+        return has_other or self.hosts.has_capacity()
+
     def handle_heard_again(self) -> None:
         """Process the first message on a connection that was silent."""
         connection = self.latest_connection()
--- a/tests/test_silent_hosts.py
+++ b/tests/test_silent_hosts.py
@@ -96,6 +96,15 @@
     assert not platform.node.hosts.pools[b"id-a"].connections
 
 
+def test_sessions_at_a_host_that_is_cut_off_are_released_at_the_limit_of_connections():
+    # a silent connection must not keep the place of the one that shows whether the host can be reached
+    platform, end, host, calls = platform_with_sessions(count=1)
+    platform.node.hosts.limits.max_connections = platform.node.hosts.connections_in_use
+    platform.world.cut_paths |= {("gw", "a"), ("a", "gw")}
+    platform.run(7)
+    assert end.messages_for(calls[0], MessageKind.RELEASE)
+
+
 def test_a_connection_that_stays_silent_while_its_host_answers_on_another_is_closed():
     # a connection whose far end was forgotten would else be kept for as long as sessions play there
     platform, end, host, calls = platform_with_sessions(count=1)
