A turn of the loop accepts 16 connections at most, so that reconnecting clients delay others less

What callers saw: beside 500 clients that send one byte short of 16 KB and connect again as soon as they are closed (32 MB, 1,024 descriptors), a viewer's longest answer took 164 ms. Cause: a turn accepted up to 64 connections; the clients open some 8,700 a second.

--- a/mintmast/loop/sockets.py
+++ b/mintmast/loop/sockets.py
@@ -20,7 +20,7 @@
 # without end
 _ACCEPT_RETRY_US = 50_000
 # accepts of one listener per iteration: enough to handle a burst soon, few enough to let others run
-_ACCEPTS_PER_TURN = 64
+_ACCEPTS_PER_TURN = 16
 # bytes up to which queued writes are joined
 _JOINED_BYTES = 4096
 # datagrams of one socket per iteration, and maximum bytes of one: longer ones are truncated and then rejected
