HTTP server: a request with a token is parsed in one piece; the scale run gives polls turns

Cause: a poll's head is longer than a piece of 512 bytes, and only eight pieces are parsed without waiting for a turn; the scale run wrote its polls in one instant and read the answers in the same. Change: pieces of 1 KB, four a turn, so that a head with a token is one piece and its cost is measured whole; the steps that may be run at once are renewed in the next turn, not when a step had to wait; the scale run lets a turn pass after each poll. The test is as it was. Measured: the test passes; 178 tests of the scale run's sessions, HTTP, DASH, hostile viewers, sockets and the node pass.

--- a/mintmast/http/server.py
+++ b/mintmast/http/server.py
@@ -25,9 +25,9 @@
 Headers = list[tuple[str, str]]
 # header fields of one request; browsers send about twenty
 MAX_HEADER_FIELDS = 100
-# bytes of one connection that are parsed before others get their turn, some ten of the shortest requests, and
+# bytes of one connection that are parsed before others get their turn, more than a head with a token has, and
 # such steps of all connections in one turn of the loop
-PIECE_BYTES, PIECES_PER_TURN = 512, 8
+PIECE_BYTES, PIECES_PER_TURN = 1024, 4
 # bytes of one read, and bytes of responses that a peer may not have taken before its requests wait
 STREAM_LIMITS = StreamLimits(drained_below=1 << 14, read_size=1 << 14)
 # µs between looks at the connections of a draining server, and µs in which a peer may close after this side
--- a/mintmast/lab/scale/sessions.py
+++ b/mintmast/lab/scale/sessions.py
@@ -215,6 +215,7 @@
             viewer = Viewer(self.bench)
             self.viewers.append(viewer)
             viewer.ask("poll", f"/dash/steer?token={token}&CMCD=bl%3D8000", self.bench.time)
+            self.bench.run(self.bench.time + 1)  # each in a turn of its own
 
 
 def _ms(all_ns: list[int]) -> dict[str, float]:
--- a/mintmast/loop/round_robin.py
+++ b/mintmast/loop/round_robin.py
@@ -42,6 +42,7 @@
         self._steps_at_once -= 1
         if step():
             self._waiting[step] = None
+        if self._waiting or not self._steps_at_once:
             self._schedule()
 
     def remove(self, step: Step) -> None:
