Planned restart: a host is warm only once it has shown that it ran before

Cause: Controller._latest_start took any session handed over for proof that the list is up to date for all hosts. The list is late, and what the process before saw of hosts ends with it. Change: after a planned start each host is paced from this start until it reports on a session handed over there, and has at least half of those that suit its size, or reports a use by others like the fleet's. One set-up a window is allowed where the share is 0. A host that restarted holds none of the sessions handed over and looks empty, so it stays paced.

--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -64,6 +64,9 @@
 DEAD_BELOW_SHARE = 0.1  # delivered share below which a server hangs: smaller rungs would not help
 # µs after this process starts during which its predecessor of the same name may still send set-ups
 PROCESS_OVERLAP_US = SECOND
+# share of the sessions handed over that suits a server's size, and share of the fleet's mean use, below which
+# a server may have started recently
+MIN_HANDED_OVER_SHARE, MIN_WARM_USE_SHARE = 0.5, 0.5
 UNSERVED_DEMAND_US = 4 * SECOND  # µs that a lost session counts as demand: most viewers are back by then
 TOTALS_PERIOD_US = SECOND // 4  # µs between updates of the fleet totals and of the price of capacity
 
@@ -138,6 +141,8 @@
     full_until: int = 0  # no set-ups until then after a FULL reply; cleared when an own session ends there
     restart_suspected_at: int = -1  # last sign that its process died or may have restarted
     answered_at: int | None = None  # first set-up answered after that sign
+    handed_over: int = 0  # sessions playing there that the previous process of this gateway handed over
+    reported_handed_over: bool = False  # its process has reported on one of them
     set_up_times: deque[int] = field(default_factory=deque)
     stepped_down_at: int = -(10**15)
     gone_at: int | None = None  # when the list first reported it as gone
@@ -169,6 +174,7 @@
     is_move: bool = False  # requested by the gateway, not by a viewer
     is_settled: bool = False  # its final answer was sent or is no longer needed
     error_replies: int = 0  # hosts that answered it with an error
+    is_handed_over: bool = False  # it was set up by the previous process of this gateway
     rung_is_provisional: bool = False  # its rung was lowered for lack of capacity or not chosen here
     rung_set_at: int = -(10**15)  # when its rung was last chosen
 
@@ -189,6 +195,8 @@
         self.unserved: deque[tuple[int, _Session]] = deque()
         self.started = 0
         self.is_planned_start = False  # a predecessor handed over playing sessions when this gateway started
+        self.handed_over = 0  # sessions handed over at all servers
+        self.total_link_kb = 0.0  # of all listed servers
         # Fleet totals. Each uplink's demand is kept with and without averages for servers without reports.
         self.totals_at = -TOTALS_PERIOD_US
         self.mean_use, self.has_reports, self.fleet_capacity_kb = 0.0, False, 0.0
@@ -280,6 +288,7 @@
             )
             mean_link_kb = s.weight_kb or s.links_kb / max(1, len(listed)) or UNLIMITED_KB
             server.link.limit_kb = mean_link_kb * min(MAX_RELATIVE_SIZE, max(1 / MAX_RELATIVE_SIZE, size))
+        self.total_link_kb = sum(each.link.limit_kb for each in listed)
 
     def _stream_count(self, server: _Server) -> int:
         stream_counts, kind = self.settings.kind_streams, server.entry.kind
@@ -350,6 +359,8 @@
             session.error_replies += 1
         if server is not None and not self._is_request_fault(event, session):
             self._record_outcome(now, server, event)
+        if event.outcome is Outcome.SERVED:
+            self._record_process(session, event.server)
         if session is None or session.server != event.server or event.attempt + 1 < session.attempts:
             return
         if server is not None:
@@ -395,10 +406,13 @@
         session.rung, session.rate_kb = service.floor, self._rate_kb(session, service.floor)
         session.rung_is_provisional = session.has_own_report = True
         self.sessions[event.request] = session
-        self.is_planned_start |= event.planned
         self._change_seats(session, 1)
         server = self.servers.get(event.server)
+        if event.planned:
+            self.is_planned_start = session.is_handed_over = True
+            self.handed_over += 1
         if server is not None:
+            server.handed_over += session.is_handed_over
             server.sessions[event.request] = session
             self._charge(now, server, session, session.rate_kb)
 
@@ -652,14 +666,47 @@
             return len(self.retry_times) + 1 <= s.budget.free + s.budget.ratio * len(self.request_times)
         return True
 
-    def _latest_start(self, server: _Server, now: int) -> int:
-        """Return the latest time at which the server may have started, as far as this gateway knows."""
-        # Sessions handed over at the start show a planned takeover, not a crash: the list is then as good as
-        # the predecessor's and shows which servers started recently.
-        latest = server.entry.started if self.is_planned_start else max(server.entry.started, self.started)
-        if server.restart_suspected_at > server.entry.started:
-            latest = max(latest, server.answered_at if server.answered_at is not None else now)
-        return latest
+    def _known_start(self, server: _Server, now: int) -> int:
+        """Return when the server last started, by the list and by the failures seen since this start."""
+        if server.restart_suspected_at <= server.entry.started:
+            return server.entry.started
+        return max(server.entry.started, server.answered_at if server.answered_at is not None else now)
+
+    def _may_have_restarted_unseen(self, server: _Server) -> bool:
+        """Return whether the server may have started before this process without its list telling so yet.
+
+        After a crash every server may. After a planned restart the list is as good as the predecessor's, but
+        late, and the failures that the predecessor saw are forgotten. A server that reports on a session
+        handed over there has not restarted since that set-up. The predecessor sends few set-ups to a server
+        that it saw return, so one with far fewer sessions than its size suggests may be new all the same.
+        """
+        if not self.is_planned_start:
+            return True
+        expected = self.handed_over * server.link.limit_kb / max(self.total_link_kb, server.link.limit_kb)
+        has_usual_sessions = server.handed_over >= MIN_HANDED_OVER_SHARE * expected
+        return not (server.reported_handed_over and has_usual_sessions) and not self._is_in_use(server)
+
+    def _is_in_use(self, server: _Server) -> bool:
+        """Return whether a server reports more use by others than one that has just started.
+
+        Drawback: other gateways may have filled a new one within their shares; it then has little room left.
+        """
+        link = server.link
+        if link.use is None:
+            return False
+        own_kb = sum(
+            each.rate_kb
+            for each in server.sessions.values()
+            if not each.is_handed_over and each.rung_set_at <= link.reported_at
+        )
+        least = max(MIN_AVERAGED_USE, MIN_WARM_USE_SHARE * self.mean_use)
+        return link.use - own_kb / link.limit_kb >= least
+
+    def _record_process(self, session: _Session | None, server_id: bytes) -> None:
+        """Record that a server's process has reported on a session, which may have been handed over."""
+        server = self.servers.get(server_id)
+        if server is not None and session is not None and session.server == server_id:
+            server.reported_handed_over |= session.is_handed_over
 
     def _warmth(self, now: int, server: _Server) -> float:
         return self._warmth_at_age(now - server.entry.started) if server.entry.started else 1.0
@@ -677,6 +724,9 @@
         covers restarts, replacements, unlisted returns after a broken connection and this gateway's own
         restart. Drawback: a connection reset without a restart slows a warm server.
 
+        After a planned restart, a server without a sign of a recent start gets one set-up a window even where
+        the share is 0: in a fleet of hundreds few sessions are handed over, and few gateways restart at once.
+
         A set-up that waits for a connection arrives together with those sent a window later. Over both
         periods together, the gateways therefore also share the spread that the platform tolerates in a
         window, twice the square root of the budget. The previous process of this gateway may have used its
@@ -687,9 +737,11 @@
         period, start = s.overload_window + s.connect_time, server.entry.started
         while server.set_up_times and server.set_up_times[0] <= now - period:
             server.set_up_times.popleft()
-        age = now - self._latest_start(server, now)
+        known_age = now - self._known_start(server, now)
+        age = min(known_age, now - self.started) if self._may_have_restarted_unseen(server) else known_age
         if age >= s.warm_up:
             return True
+        least = 1 if self.is_planned_start and known_age >= s.warm_up else 0
         if start and now - start < s.warm_up:
             # after a crash there is no previous process left
             overlap = PROCESS_OVERLAP_US if self.is_planned_start else 0
@@ -698,8 +750,9 @@
         warmth = self._warmth_at_age(age - period)  # at the start of the window
         budget = s.overload_factor * self._stream_count(server) / s.warm_up * warmth * s.overload_window
         in_window = sum(1 for at in server.set_up_times if at > now - s.overload_window)
-        period_share = self._budget_share(server, budget + 2 * math.sqrt(budget))
-        return in_window < self._budget_share(server, budget) and len(server.set_up_times) < period_share
+        window_share = max(least, self._budget_share(server, budget))
+        period_share = max(least, self._budget_share(server, budget + 2 * math.sqrt(budget)))
+        return in_window < window_share and len(server.set_up_times) < period_share
 
     def _budget_share(self, server: _Server, budget: float) -> int:
         """Return this gateway's share of the whole set-ups in a server's budget."""
@@ -756,6 +809,7 @@
     def _handle_note(self, now: int, event: api.Note) -> None:
         session = self.sessions.get(event.request)
         server = self.servers.get(event.server)
+        self._record_process(session, event.server)
         if event.kind is NoteKind.RUNG:
             if session is not None and math.isfinite(event.value):
                 rung = min(max(0, int(event.value)), len(self.settings.rung_kb) - 1)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -114,12 +114,13 @@
     assert keeps_budget(set_up_times(gateway, TIMES), T0)
 
 
-def test_after_a_planned_start_only_recently_started_servers_are_cold():
+def test_after_a_planned_start_servers_that_report_are_cold_only_if_the_list_shows_it():
     for listed, few in ((0, False), (T0 - S, True)):
         gateway = Controller(make_controller().settings, 1)
         gateway.handle(T0, api.Started())
         gateway.handle(T0, api.ServerList(api.ListKind.CACHED, 1, (server_entry(0, started=listed),)))
         gateway.handle(T0, api.SessionOpen(900, 1, 0, 77, 0, SERVERS[0], 90 * S))
+        gateway.handle(T0, api.Note(900, SERVERS[0], api.NoteKind.RUNG, 0.0))
         assert (len(set_up_times(gateway, TIMES)) < len(TIMES) / 3) is few
 
 
