Sessions handed over at a host that had restarted are released when the list tells of it

Cause: Calls.adopt_session took the time of the handover for that of the set-up, and a start that the list tells of ends only sessions established before it. Change: a session handed over counts as older than such a start until its host has reported on it; it is released at the host as well. A host that holds the session reports on it on the gateway's next connection, so only lost ones end.

--- a/mintmast/decisions/calls/calls.py
+++ b/mintmast/decisions/calls/calls.py
@@ -127,6 +127,7 @@
     may_be_running: bool = False  # an attempt is in progress, or the session plays
     attempt_sent_at: int = 0
     established_at: int = 0
+    is_unconfirmed: bool = False  # the session was handed over, and its host has not reported on it yet
 
     @property
     def attempts(self) -> int:
@@ -190,7 +191,7 @@
         """Adopt a session that is already playing at `host`. Raises ValueError if its id is in use."""
         call = self._create(now, request, viewer)
         call.state, call.host, call.attempt, call.established_at = CallState.ESTABLISHED, host, 0, now
-        call.may_be_running = True
+        call.may_be_running = call.is_unconfirmed = True
         self._by_host.setdefault(host, {})[call.number] = call
         event = api.SessionOpen(
             call.number,
@@ -276,6 +277,7 @@
         call = self._call_at(call_id, host)
         if call is None or call.state is not CallState.ESTABLISHED:
             return []
+        call.is_unconfirmed = False
         return self._dispatch(now, api.Note(call.number, host, kind, value))
 
     def handle_host_death(self, now: int, host: bytes, before: int | None = None) -> list[Command]:
@@ -286,6 +288,19 @@
                 commands += self._apply(now, call, _Observation(CallEvent.SESSION_ENDED, Outcome.RESET))
         return commands
 
+    def handle_host_start(self, now: int, host: bytes, started: int) -> list[Command]:
+        """End the host's sessions that are older than the start of its process, of which the list has told.
+
+        When a session that was handed over was set up is not known. It counts as older until the host has
+        reported on it, and is released at the host as well, where it may play after all.
+        """
+        commands: list[Command] = []
+        for call in list(self._by_host.get(host, {}).values()):
+            if call.state is CallState.ESTABLISHED and call.is_unconfirmed:
+                commands.append(ReleaseToHost(call.id, host))
+                commands += self._apply(now, call, _Observation(CallEvent.SESSION_ENDED, Outcome.RESET))
+        return commands + self.handle_host_death(now, host, started)
+
     # Other inputs of the controller
 
     def start(self, now: int) -> list[Command]:
--- a/mintmast/signalling/node.py
+++ b/mintmast/signalling/node.py
@@ -155,7 +155,7 @@
             known = self._listed_hosts.get(entry.server)
             is_new_process = known is not None and entry.started > known.started
             if is_new_process:
-                commands += self.calls.handle_host_death(now, entry.server, entry.started)
+                commands += self.calls.handle_host_start(now, entry.server, entry.started)
             self.hosts.update_host(entry.server, address, is_gone, is_new_process)
             if is_gone:
                 self._listed_hosts.pop(entry.server, None)
--- a/tests/test_planned_restarts.py
+++ b/tests/test_planned_restarts.py
@@ -4,9 +4,11 @@
 later, and the new process, to which sessions at other hosts were handed over, sent it all that it could.
 """
 
+import json
+
 import pytest
 from helpers import T0, S, attempt_end, make_controller, request, server_entry, set_ups
-from platform_world import SETTINGS, Param, Platform, encode, set_up
+from platform_world import SETTINGS, Param, Platform, encode, host_entry, list_event, set_up
 from test_rules import SERVERS, TIMES, keeps_budget, set_up_times
 from test_slow_start import CONNECT_TIME, HOST, HOST_START, MS, REQUESTS_PER_S, WINDOW, Fleet
 
@@ -157,13 +159,7 @@
     for name in "abc":
         tell_rung_on_each_connection(platform.hosts[name], held[f"id-{name}".encode()])
     platform.run(20)  # no host counts as new because the clock has just begun
-    platform.gateway.kill()
-    platform.gateway = platform.world.node("gw")
-    platform.node = Node(platform.gateway, platform.config, platform.node.log)
-    end = platform.viewer()
-    end.stream.write(encode_health_check(bytes(8)))
-    for host, call in held.items():
-        end.stream.write(set_up(call, placement=f"home:0;copies:4;top:2;at:{host.decode()}", timeout=None))
+    end = restart_node(platform, held)
     platform.run(0.4)
     for _ in range(60):
         platform.send_set_up(end)
@@ -182,3 +178,35 @@
         host.platform.world.at(host.platform.now() + MS, lambda: peer.stream.write(note))
 
     host.handle_accepted = accept_and_tell
+
+
+def restart_node(platform, held):
+    """Restart the gateway as planned; return a viewer that has handed over the sessions `held` by host id."""
+    platform.gateway.kill()
+    platform.gateway = platform.world.node("gw")
+    platform.node = Node(platform.gateway, platform.config, platform.node.log)
+    end = platform.viewer()
+    end.stream.write(encode_health_check(bytes(8)))
+    for host, call in held.items():
+        end.stream.write(set_up(call, placement=f"home:0;copies:4;top:2;at:{host.decode()}", timeout=None))
+    return end
+
+
+@pytest.mark.parametrize("is_reported", [False, True])
+def test_a_session_handed_over_at_a_host_that_had_restarted_is_released_when_the_list_tells(is_reported):
+    """Nobody told its viewer that it was cut; the handover hid that it is older than the host's process."""
+    platform = Platform("a")
+    if is_reported:
+        tell_rung_on_each_connection(platform.hosts["a"], b"held-one")
+    platform.run(5)
+    started_ms = int(platform.gateway.wall() * 1000)
+    platform.run(1)
+    end = restart_node(platform, {b"id-a": b"held-one"})
+    platform.run(1)
+    listed = host_entry("a", started=started_ms)
+    platform.log.send(f"id: 2\ndata: {json.dumps(list_event(2, listed))}\n\n".encode())
+    platform.run(0.5)
+    released = [message.kind for message in end.messages_for(b"held-one")]
+    assert released == ([] if is_reported else [MessageKind.RELEASE])
+    assert platform.hosts["a"].releases == ([] if is_reported else [b"held-one"])
+    assert platform.node.calls.has_session_at(b"id-a") is is_reported
