A process that stood still reads what has arrived before its timers run

Cause: a wait of the loop that a pause outlasts ends without events, and all due timers fired before anything was read, so answers in the buffers counted as silence and were placed again by the old list. A set-up was also written in the moment its health check passed, before the list's event that came in the same turn, and one that was placed and not yet written stayed with a host that drains. Change: the loop reads once more after a late wait, and before a timer that a pause has delayed; a set-up is written after all that has arrived is read; unwritten set-ups are withdrawn from a host that drains or is gone and placed anew. The last is safe for paid calls: nothing was written.

--- a/mintmast/decisions/outcomes.py
+++ b/mintmast/decisions/outcomes.py
@@ -31,6 +31,7 @@
     UNRECORDED = "unrecorded"  # the intent could not be made durable in time, so nothing was sent
     CALLED_OFF = "called off"  # the gateway cancelled the attempt after a byte had been sent
     CALLED_OFF_UNSENT = "called off unsent"  # the gateway cancelled the attempt before a byte was sent
+    DRAINED = "drained"  # the list told that the host drains or is gone before a byte was sent
     WITHDRAWN = "withdrawn"  # the viewer left before a byte was sent, and the gateway dropped the attempt
 
 
@@ -82,6 +83,7 @@
     Evidence.CALLED_OFF_UNSENT: OutcomeRow(
         Outcome.CONNECT_FAILED, True, "nothing was sent and nothing will be"
     ),
+    Evidence.DRAINED: OutcomeRow(Outcome.FULL, True, "nothing was sent, and the host takes no set-ups"),
     Evidence.WITHDRAWN: OutcomeRow(Outcome.NOT_SENT, True, "nothing was sent, and the host was not involved"),
 }
 
--- a/mintmast/loop/real.py
+++ b/mintmast/loop/real.py
@@ -23,6 +23,8 @@
 
 # µs; a longer iteration, or a wait that overruns by more, counts as a stall of this process
 STALL_THRESHOLD_US = 250_000
+# µs; after a wait that overruns by more, the sockets are polled once more before timers run
+LATE_WAIT_US = 20_000
 
 
 def tune_garbage_collector() -> None:
@@ -149,9 +151,9 @@
         late = begin - max(due, before) if due is not None else 0
         for key, mask in ready:
             self.call_safely(key.data, mask)
-        while (timer := self._timers.pop(begin)) is not None:
-            if timer.callback is not None:
-                self.call_safely(timer.callback, *timer.args)
+        if not ready and late > LATE_WAIT_US:
+            self._read_after_pause()
+        self._run_timers(begin)
         took = self.now() - begin
         self.turns += 1
         self.longest_turn = max(self.longest_turn, took)
@@ -160,6 +162,25 @@
         if self.on_stall is not None and max(late, took) > STALL_THRESHOLD_US:
             self.on_stall(max(late, took))
 
+    def _run_timers(self, due: int) -> None:
+        """Run the timers due at `due`."""
+        pause_at = due + STALL_THRESHOLD_US
+        while (timer := self._timers.pop(due)) is not None:
+            if timer.callback is not None and self.now() > pause_at:
+                self._read_after_pause()
+                pause_at = self.now() + STALL_THRESHOLD_US
+            if timer.callback is not None:
+                self.call_safely(timer.callback, *timer.args)
+
+    def _read_after_pause(self) -> None:
+        """Read what has arrived while the process stood still.
+
+        A timer that stands for silence must not fire before that; a wait that a pause outlasts ends without
+        events.
+        """
+        for key, mask in self._selector.select(0):
+            self.call_safely(key.data, mask)
+
     def call_safely(self, callback: Callable[..., Any], *args: Any) -> None:
         """Run a callback and report any exception to `on_error`."""
         try:
--- a/mintmast/signalling/hostconnection.py
+++ b/mintmast/signalling/hostconnection.py
@@ -121,6 +121,13 @@
             self.health_check_sent_at = self.pool.hosts.loop.now()
             self.write(encode_health_check(bytes(8)))
 
+    def _send_attempt(self) -> None:
+        """Write the set-up that waits for the health check that has passed, if it still does."""
+        attempt = self.attempt
+        if attempt is not None and attempt.end_offset is None and self.health_check_sent_at is None:
+            self.write(attempt.frame)
+            attempt.end_offset = self.bytes_written
+
     def check_timeouts(self, now: int) -> None:
         """Send health checks, and abort after a connect or health check timeout."""
         if self.stream is None:
@@ -179,9 +186,8 @@
         events, host = self.pool.hosts.events, self.pool.host
         if kind == MessageKind.HEALTH_CHECK_REPLY:
             self.health_check_sent_at = None
-            if attempt is not None and attempt.end_offset is None:
-                self.write(attempt.frame)
-                attempt.end_offset = self.bytes_written
+            # sent once all that has arrived is read: the list may tell that the host drains
+            self.pool.hosts.loop.call_soon(self._send_attempt)
         elif kind == MessageKind.HEALTH_CHECK:
             self.write(encode_health_check_reply(call_id, True))
         elif kind == MessageKind.NOTE:
--- a/mintmast/signalling/hosts.py
+++ b/mintmast/signalling/hosts.py
@@ -109,6 +109,12 @@
         attempt = pool.attempts.get(call_id) if pool is not None else None
         return attempt is not None and attempt.end_offset is None
 
+    def unsent_set_ups(self, host: bytes) -> list[bytes]:
+        """Return the calls whose set-ups for a host are in progress and were not written yet."""
+        pool = self.pools.get(host)
+        attempts = pool.attempts.values() if pool is not None else ()
+        return [attempt.call_id for attempt in attempts if attempt.end_offset is None]
+
     def withdraw_unsent(self, host: bytes, call_id: bytes) -> bool:
         """Cancel a set-up that was not written yet. Return False, without a change, if there is none."""
         if not self.is_unsent(host, call_id):
--- a/mintmast/signalling/node.py
+++ b/mintmast/signalling/node.py
@@ -157,12 +157,15 @@
             if is_new_process:
                 commands += self.calls.handle_host_start(now, entry.server, entry.started)
             self.hosts.update_host(entry.server, address, is_gone, is_new_process)
+            if entry.state is not api.ServerState.READY:
+                commands += self._withdraw_from(entry.server)
             if is_gone:
                 self._listed_hosts.pop(entry.server, None)
             else:
                 self._listed_hosts[entry.server] = entry
         if fleet.full:
             for server in [each for each in self._listed_hosts if each not in listed]:
+                commands += self._withdraw_from(server)
                 del self._listed_hosts[server]
                 self.hosts.update_host(server, ("", 0), True)
         self.log(
@@ -170,6 +173,14 @@
         )
         self._execute(commands)
 
+    def _withdraw_from(self, host: bytes) -> list[cmd.Command]:
+        """Withdraw the unwritten set-ups from a host that drains or is gone, and place them anew."""
+        commands: list[cmd.Command] = []
+        for call_id in self.hosts.unsent_set_ups(host):
+            self.hosts.cancel_set_up(host, call_id)
+            commands += self.calls.handle_attempt_end(self.loop.now(), call_id, host, Evidence.DRAINED)
+        return commands
+
     def _parse_entry(self, entry: HostEntry) -> api.ListEntry:
         if not 0 < len(entry.id) <= 64 or entry.state not in _SERVER_STATES:
             raise ValueError(f"host {entry.id[:64]!r} has an invalid id or state {entry.state[:64]!r}")
