What was given up at a media host that was cut off is released once it is reached again

Cause: HostPool._report_dead treated a host that does not answer like one whose process has died: it cleared the releases that waited for it and queued none for the sessions given up. Unreachable is not dead. Change: sessions given up at an unreachable host are released as soon as a connection to it comes up, before a new set-up is written; one is tried each second. A refused connection, a new process by the list, another host at the address and the end in the list drop the releases.

--- a/mintmast/signalling/hostpool.py
+++ b/mintmast/signalling/hostpool.py
@@ -21,6 +21,8 @@
 Address = tuple[str, int]
 # µs of idleness after which a connection beyond the first is closed
 SPARE_IDLE_US = 4_000_000
+# µs between connection attempts to a host that is only needed for releases that wait for it
+RELEASE_RETRY_US = 1_000_000
 # share of the connections in use above which spare ones are closed even to hosts with sessions
 SCARCE_SHARE = 0.75
 # bounds of a host's stream in bytes, and of the releases queued for a host that cannot be reached
@@ -37,6 +39,7 @@
         self.attempts: dict[bytes, Attempt] = {}
         self.pending_releases: deque[bytes] = deque(maxlen=MAX_PENDING_RELEASES)
         self.connect_failures = 0
+        self._release_retry_at = 0  # when to connect next for waiting releases alone
         self.is_replaced = False
         # a connection was closed while the host was silent, which may write to it before it reads the close
         self._closed_while_silent = False
@@ -194,14 +197,20 @@
         elif not connection.was_open and reason is not CloseReason.LOCAL:
             self.connect_failures += 1
             if self.connect_failures >= 2:
-                self._report_dead("unreachable")
-        if (
-            not self.is_replaced
-            and not self._has_working_connection()
-            and (self.pending_releases or self.hosts.events.has_sessions(self.host))
-        ):
+                self._report_dead("unreachable", may_return=True)
+        if not self.is_replaced and not self._has_working_connection() and self._must_connect():
             self.connect()
 
+    def _must_connect(self) -> bool:
+        """Return whether a connection must be opened now, for sessions or for releases that wait."""
+        if self.hosts.events.has_sessions(self.host):
+            return True
+        now = self.hosts.loop.now()
+        if not self.pending_releases or now < self._release_retry_at:
+            return False
+        self._release_retry_at = now + RELEASE_RETRY_US
+        return True
+
     def _reopen_connection(self) -> bool:
         """Open a connection in place of one that ended, if sessions play there. Return False if not needed.
 
@@ -292,10 +301,12 @@
                 connection.abort(CloseReason.RESET)
             self._report_dead("replaced")
 
-    def _report_dead(self, reason: str) -> None:
-        self.pending_releases.clear()
+    def _report_dead(self, reason: str, may_return: bool = False) -> None:
+        """Report the host dead; one that is only unreachable `may_return` with its sessions."""
+        if not may_return:
+            self.pending_releases.clear()
         self.hosts.loop.call_soon(
-            self.hosts.events.handle_host_death, self.host, self.hosts.loop.now(), reason
+            self.hosts.events.handle_host_death, self.host, self.hosts.loop.now(), reason, may_return
         )
 
     def check_connections(self) -> None:
@@ -320,5 +331,5 @@
         if is_needed and not self._has_working_connection():
             if self.is_replaced:
                 self._report_dead("replaced")
-            elif self.hosts.connections_in_use < self.hosts.limits.max_connections:
+            elif self.hosts.connections_in_use < self.hosts.limits.max_connections and self._must_connect():
                 self.connect()
--- a/mintmast/signalling/hosts.py
+++ b/mintmast/signalling/hosts.py
@@ -36,8 +36,11 @@
     def handle_note(self, host: bytes, call_id: bytes, name: str, text: str) -> None:
         """Process a note about a session."""
 
-    def handle_host_death(self, host: bytes, when: int, reason: str) -> None:
-        """Process the death of the host's process, observed at `when`; its sessions ended with it."""
+    def handle_host_death(self, host: bytes, when: int, reason: str, may_return: bool) -> None:
+        """Process the death of the host's process, observed at `when`; its sessions ended with it.
+
+        A host that `may_return` is only unreachable, and its sessions may play on.
+        """
 
     def has_sessions(self, host: bytes) -> bool:
         """Return whether sessions play at the host, so that a connection to it must be kept."""
@@ -73,6 +76,7 @@
             pool.change_address(address)
         elif is_new_process:
             pool.record_arrival()
+            pool.pending_releases.clear()  # they concern sessions of the process before
         pool.left_list = is_gone
         pools_at_address = [each for each in self.pools.values() if each.address == pool.address]
         for each in pools_at_address:
--- a/mintmast/signalling/node.py
+++ b/mintmast/signalling/node.py
@@ -293,12 +293,18 @@
         if kind is not None and value is not None:
             self._execute(self.calls.handle_note(self.loop.now(), call_id, host, kind, value))
 
-    def handle_host_death(self, host: bytes, when: int, reason: str) -> None:
-        """End the host's sessions that are older than `when`: its process has died."""
+    def handle_host_death(self, host: bytes, when: int, reason: str, may_return: bool) -> None:
+        """End the host's sessions that are older than `when`: its process has died, or is unreachable.
+
+        At a host that `may_return` they are released as soon as it can be reached, as nobody watches them.
+        """
         commands = self.calls.handle_host_death(self.loop.now(), host, when)
         if commands:
             self.log("dead", host=host.decode(), why=reason, sessions=len(commands))
         self._execute(commands)
+        for command in commands:
+            if may_return and isinstance(command, cmd.ReleaseToViewer):
+                self.hosts.release_session(host, command.call_id)
 
     def has_sessions(self, host: bytes) -> bool:
         """Return whether sessions play at the host."""
