Slow start: what a server has shown is not looked at once this process is warm itself

Need: a second reading found that each request summed the sessions of each candidate for good after a planned restart, though the answer matters for one warm-up only. Change: the question is asked only while the process is younger than the warm-up; the result is the same.

--- a/mintmast/decide.py
+++ b/mintmast/decide.py
@@ -737,8 +737,9 @@
         period, start = s.overload_window + s.connect_time, server.entry.started
         while server.set_up_times and server.set_up_times[0] <= now - period:
             server.set_up_times.popleft()
-        known_age = now - self._known_start(server, now)
-        age = min(known_age, now - self.started) if self._may_have_restarted_unseen(server) else known_age
+        age = known_age = now - self._known_start(server, now)
+        if now - self.started < s.warm_up and self._may_have_restarted_unseen(server):
+            age = min(known_age, now - self.started)
         if age >= s.warm_up:
             return True
         least = 1 if self.is_planned_start and known_age >= s.warm_up else 0
